Add the real sidecar: one program on sockets round the decision module

The crate and its adapter are renamed to cottonpoint. Settings are read once (src/settings.rs) for the wire's lines and for the sidecar's JSON. src/sidecar is the protocol-free core, src/net speaks with clients, targets and discovery.

--- a/src/bin/heronlane-benchlink/main.rs
+++ b/src/bin/cottonpoint-adapter/main.rs
@@ -2,12 +2,13 @@
 
 mod wire;
 
-use heronlane::{Action, Balancer, Endpoint, Event, Time};
+use cottonpoint::settings::{self, ReportFields};
+use cottonpoint::{Action, Balancer, Endpoint, Event, Time};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
-use wire::{Malformed, Reader, Record, Reply, ReportFields};
+use wire::{Malformed, Reader, Record, Reply};
 
 /// All that the process holds between batches.
 #[derive(Default)]
@@ -40,8 +41,9 @@
                 Record::Other => continue,
                 Record::Start(seed, text) => {
                     let instance = target.ok_or_else(|| Malformed("no instance named".into()))?;
-                    let (settings, fields) = wire::settings(text)?;
-                    let made = guard(&mut reply, instance, || Balancer::new(settings, seed, now));
+                    let platform = settings::from_pairs(text).map_err(|e| Malformed(e.to_string()))?;
+                    let fields = platform.fields;
+                    let made = guard(&mut reply, instance, || Balancer::new(platform.balancer, seed, now));
                     if let Some(balancer) = made {
                         self.instances.insert(instance, (balancer, fields));
                     }
@@ -128,7 +130,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(Malformed(why)) => {
-            eprintln!("heronlane-benchlink: {why}");
+            eprintln!("cottonpoint-adapter: {why}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/heronlane-benchlink/wire.rs
+++ b/src/bin/cottonpoint-adapter/wire.rs
@@ -1,7 +1,7 @@
 //! Reading and writing the bench's frames: plain translation, no decisions.
 
-use heronlane::*;
-use std::collections::HashMap;
+use cottonpoint::settings::ReportFields;
+use cottonpoint::*;
 use std::time::Duration;
 
 /// Why input could not be taken; one plain line.
@@ -105,8 +105,7 @@
         for _ in 0..count {
             values.push(self.f32()?);
         }
-        let at = |field: Option<usize>| field.and_then(|i| values.get(i).copied());
-        let report = LoadReport { utilization: at(fields.utilization), rate: at(fields.rate) };
+        let report = fields.report(|i| values.get(i).copied());
         Ok((count > 0).then_some(report))
     }
 
@@ -127,13 +126,6 @@
     }
 }
 
-/// Where the values of a load report stand.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ReportFields {
-    utilization: Option<usize>,
-    rate: Option<usize>,
-}
-
 /// What happened, as the wire tells it.
 #[derive(Debug)]
 pub enum Record<'a> {
@@ -313,115 +305,3 @@
         frame
     }
 }
-
-/// The `path=value` pairs of an instance's settings.
-struct Pairs<'a>(HashMap<&'a str, &'a str>);
-
-impl Pairs<'_> {
-    fn find(&self, key: &str) -> Result<&str> {
-        match self.0.get(key) {
-            Some(value) => Ok(value),
-            None => malformed(format!("setting {key} is missing")),
-        }
-    }
-
-    fn get<T: std::str::FromStr>(&self, key: &str) -> Result<T> {
-        let text = self.find(key)?;
-        text.parse().or_else(|_| malformed(format!("setting {key} cannot be read: {text}")))
-    }
-
-    fn or<T: std::str::FromStr>(&self, key: &str, default: T) -> Result<T> {
-        if self.0.contains_key(key) { self.get(key) } else { Ok(default) }
-    }
-
-    fn nanos(&self, key: &str) -> Result<Duration> {
-        Ok(Duration::from_nanos(self.get(key)?))
-    }
-
-    fn word<T: Copy>(&self, key: &str, words: &[(&str, T)]) -> Result<T> {
-        let text = self.find(key)?;
-        match words.iter().find(|(word, _)| *word == text) {
-            Some(&(_, value)) => Ok(value),
-            None => malformed(format!("setting {key} cannot be read: {text}")),
-        }
-    }
-}
-
-/// Translates an instance's settings.
-pub fn settings(text: &str) -> Result<(Settings, ReportFields)> {
-    let pairs = Pairs(text.lines().filter_map(|line| line.split_once('=')).collect());
-    let mut classes = Vec::new();
-    for i in 0..pairs.get::<u16>("lanes.count")? {
-        let key = |field: &str| format!("lanes.{i}.{field}");
-        let words = [("read_like", 0), ("idempotency_key", 1), ("non_idempotent", 2)];
-        let effect = match pairs.word(&key("semantics"), &words)? {
-            0 => Effect::Safe,
-            1 => Effect::Keyed {
-                scope: pairs.word(
-                    &key("group"),
-                    &[("all", Scope::All), ("zone", Scope::Zone), ("cell", Scope::Cell)],
-                )?,
-                window: pairs.nanos(&key("window_ns"))?,
-            },
-            _ => Effect::Unsafe,
-        };
-        classes.push(Class {
-            aim: pairs.nanos(&key("aim_ns"))?,
-            aim_stretch: pairs.or(&key("aim_stretch"), 0.0)?,
-            give_up: pairs.nanos(&key("give_up_ns"))?,
-            worth: pairs.get(&key("worth"))?,
-            late_worth: pairs.or(&key("late_worth"), 0.0)?,
-            effect,
-        });
-    }
-    let mut tenants = Vec::new();
-    for i in 0..pairs.or::<u16>("orgs.count", 0)? {
-        tenants.push(Tenant { quota_per_s: pairs.get(&format!("orgs.{i}.quota_per_s"))? });
-    }
-    let words = [("pushed", false), ("on_request", true)];
-    let discovery = if pairs.word("discovery", &words)? {
-        Discovery::OnRequest { ask_within: pairs.nanos("obligations.ask_within_ns")? }
-    } else {
-        Discovery::Pushed
-    };
-    let words = [
-        ("piggyback", Reporting::WithAnswers),
-        ("pull", Reporting::ProbesOnly),
-        ("silent", Reporting::Never),
-    ];
-    let reporting = pairs.word("telemetry.how", &words)?;
-    let names: Vec<&str> = pairs.0.get("telemetry.fields").map_or(Vec::new(), |f| f.split(',').collect());
-    let at = |name: &str| names.iter().position(|n| *n == name);
-    let fields = ReportFields { utilization: at("utilization"), rate: at("throughput") };
-    let max_retry_after = if pairs.or("limits.retry_after", false)? {
-        Some(pairs.nanos("limits.max_retry_after_ns")?)
-    } else {
-        None
-    };
-    let settings = Settings {
-        me: pairs.get("me")?,
-        siblings: pairs.get("siblings")?,
-        zone: ZoneId(pairs.get("my_zone")?),
-        from_clients: pairs.or("tier", 0)? == 0,
-        classes,
-        tenants,
-        over_quota_worth: pairs.or("over_share_worth", 1.0)?,
-        discovery,
-        reporting,
-        limits: Limits {
-            max_attempts: pairs.get("limits.max_attempts")?,
-            may_duplicate: pairs.get("limits.may_duplicate")?,
-            may_cancel: pairs.get("limits.cancelling")?,
-            may_probe: pairs.get("limits.probes")?,
-            max_retry_after,
-        },
-        obligations: Obligations {
-            cold_from: pairs.get("obligations.cold_from")?,
-            warm_after: pairs.nanos("obligations.warm_after_ns")?,
-            fall_multiple: pairs.get("obligations.fall_multiple")?,
-            fall_after: pairs.nanos("obligations.tip_after_ns")?,
-        },
-        cross_zone_price: pairs.or("penalties.cross_zone", 0.0)?,
-    };
-    Ok((settings, fields))
-}
--- /dev/null
+++ b/src/bin/cottonpoint.rs
@@ -0,0 +1,54 @@
+//! The sidecar's command line.
+
+use async_signal::{Signal, Signals};
+use bpaf::Bpaf;
+use cottonpoint::config::Config;
+use cottonpoint::serve;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A load-balancing sidecar: it takes a caller's requests, decides which target gets each, and when.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+enum Command {
+    /// Serve until told to stop by SIGTERM or SIGINT
+    #[bpaf(command)]
+    Serve {
+        /// The configuration, as JSON
+        #[bpaf(long, env("NODE_CONFIG"), argument("FILE"))]
+        config: PathBuf,
+    },
+    /// Print the program's version
+    #[bpaf(command)]
+    Version,
+}
+
+fn serve(path: PathBuf) -> Result<(), String> {
+    let config = Config::load(&path).map_err(|e| e.to_string())?;
+    let stop =
+        Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("cannot take signals: {e}"))?;
+    let listener =
+        TcpListener::bind(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    eprintln!("cottonpoint: {} serves on {}", config.name, config.listen);
+    serve::run(config, listener, stop).map_err(|e| e.to_string())?;
+    eprintln!("cottonpoint: stopped, all answered");
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let done = match command().run() {
+        Command::Serve { config } => serve(config),
+        Command::Version => {
+            println!("cottonpoint {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("cottonpoint: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,120 @@
+//! The sidecar's configuration: the one place that reads it, checks it and gives defaults.
+
+use crate::net::list::{Answer, Names};
+use crate::settings::{self, Platform};
+use serde_json::Value;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Descriptors that are never given to connections: standard streams, the listener, discovery, signals and
+/// the event loop, and room to turn clients away.
+const RESERVE: usize = 48;
+const SOCKETS: u64 = 1024;
+/// With fewer descriptors than this the program does not start.
+const SOCKETS_MIN: u64 = 96;
+
+/// What is wrong with the configuration: a key, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BadConfig {
+    key: String,
+    why: String,
+}
+
+impl fmt::Display for BadConfig {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "configuration: {}: {}", self.key, self.why)
+    }
+}
+
+fn bad(key: &str, why: impl fmt::Display) -> BadConfig {
+    // One line, whatever the cause says.
+    BadConfig { key: key.to_owned(), why: why.to_string().replace('\n', " ") }
+}
+
+/// All that a sidecar is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// The seed of all randomness.
+    pub seed: u64,
+    /// Client connections at most.
+    pub client_connections: usize,
+    /// Connections to targets at most.
+    pub target_connections: usize,
+    /// The list as last known.
+    pub known: Option<Answer>,
+    /// The platform's settings.
+    pub platform: Platform,
+}
+
+impl Config {
+    /// Reads the configuration from a file; `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY` stand in for
+    /// what it does not say.
+    pub fn load(path: &Path) -> Result<Config, BadConfig> {
+        let text = std::fs::read_to_string(path).map_err(|e| bad(&path.display().to_string(), e))?;
+        Config::parse(&text, |name| std::env::var(name).ok())
+    }
+
+    /// Reads the configuration from JSON text.
+    pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, BadConfig> {
+        let json: Value = serde_json::from_str(text).map_err(|e| bad("(whole)", e))?;
+        if !json.is_object() {
+            return Err(bad("(whole)", "must be an object"));
+        }
+        let word = |key: &str, stand_in: &str| match json.get(key) {
+            Some(Value::String(text)) => Ok(text.clone()),
+            Some(_) => Err(bad(key, "must be a string")),
+            None => variable(stand_in).ok_or_else(|| bad(key, format!("is missing, and so is {stand_in}"))),
+        };
+        let address = |key: &str, stand_in: &str| {
+            let text = word(key, stand_in)?;
+            text.parse::<SocketAddr>().map_err(|_| bad(key, format!("must be an address and port: {text}")))
+        };
+        let seed = match json.get("seed") {
+            None => fastrand::u64(..),
+            Some(Value::String(hex)) => u64::from_str_radix(hex, 16)
+                .map_err(|_| bad("seed", format!("must be hexadecimal: {hex}")))?,
+            Some(other) => return Err(bad("seed", format!("must be a string: {other}"))),
+        };
+        let sockets = match json.pointer("/limits/sockets") {
+            None => SOCKETS,
+            Some(n) => n.as_u64().filter(|&n| n >= SOCKETS_MIN).ok_or_else(|| {
+                bad("limits.sockets", format!("must be a whole number of at least {SOCKETS_MIN}: {n}"))
+            })?,
+        };
+        let settings = json.get("settings").ok_or_else(|| bad("settings", "is missing"))?;
+        let mut platform =
+            settings::from_json(settings).map_err(|e| bad(&format!("settings.{}", e.key), e.why))?;
+        // On the socket any refusal may carry advice, whatever the simulator's clients are given.
+        platform.balancer.limits.max_retry_after = platform.max_retry_after;
+        let known = match json.get("known") {
+            None | Some(Value::Null) => None,
+            Some(known) => {
+                let mut known: Answer =
+                    serde_json::from_value(known.clone()).map_err(|e| bad("known", e))?;
+                known.reset = true;
+                let names = Names { zones: platform.zones.clone(), kinds: platform.kinds.clone() };
+                known.listed(&names).map_err(|e| bad("known", e))?;
+                Some(known)
+            }
+        };
+        // A flow holds a connection on either side; clients keep some more.
+        let spare = usize::try_from(sockets).unwrap_or(usize::MAX).min(1 << 16) - RESERVE;
+        Ok(Config {
+            name: word("name", "NODE_NAME").unwrap_or_else(|_| "cottonpoint".into()),
+            listen: address("listen", "NODE_LISTEN")?,
+            discovery: address("discovery", "NODE_DISCOVERY")?,
+            seed,
+            client_connections: spare * 3 / 5,
+            target_connections: spare * 2 / 5,
+            known,
+            platform,
+        })
+    }
+}
--- /dev/null
+++ b/src/net/buffer.rs
@@ -0,0 +1,53 @@
+//! A connection's one buffer: it grows as a message needs and is compacted in place.
+
+use futures_lite::{AsyncRead, AsyncReadExt};
+use std::io;
+
+const CHUNK: usize = 4096;
+
+/// Bytes that have arrived and were not consumed yet.
+#[derive(Default)]
+pub struct Buffer {
+    bytes: Vec<u8>,
+    start: usize,
+    end: usize,
+}
+
+impl Buffer {
+    /// What has arrived.
+    pub fn filled(&self) -> &[u8] {
+        &self.bytes[self.start..self.end]
+    }
+
+    /// Whether nothing waits to be consumed.
+    pub fn is_empty(&self) -> bool {
+        self.start == self.end
+    }
+
+    /// Forgets the first `n` bytes. An emptied buffer gives back what a large message made it grow to.
+    pub fn consume(&mut self, n: usize) {
+        self.start = (self.start + n).min(self.end);
+        if self.start == self.end {
+            (self.start, self.end) = (0, 0);
+            if self.bytes.len() > 2 * CHUNK {
+                self.bytes.truncate(CHUNK);
+                self.bytes.shrink_to_fit();
+            }
+        }
+    }
+
+    /// Appends what the stream has to give; 0 at its end. May be dropped at any time without loss.
+    pub async fn fill(&mut self, stream: &mut (impl AsyncRead + Unpin)) -> io::Result<usize> {
+        if self.end == self.bytes.len() {
+            self.bytes.copy_within(self.start..self.end, 0);
+            (self.start, self.end) = (0, self.end - self.start);
+            if self.bytes.len() - self.end < CHUNK {
+                let room = self.bytes.len().max(CHUNK);
+                self.bytes.resize(self.end + room, 0);
+            }
+        }
+        let n = stream.read(&mut self.bytes[self.end..]).await?;
+        self.end += n;
+        Ok(n)
+    }
+}
--- /dev/null
+++ b/src/net/clients/take_in.rs
@@ -0,0 +1,116 @@
+//! Take in: a client's request is read, checked and made a flow, or answered right here.
+
+use super::relay::Reply;
+use crate::interface::*;
+use crate::net::http::{self, Fault, Framing, Head};
+use crate::net::servers::Outgoing;
+use crate::settings::Platform;
+use std::fmt::Write;
+use std::time::Duration;
+
+/// A request that became a flow.
+#[derive(Debug)]
+pub struct TakenIn {
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: Option<TenantId>,
+    /// How long its client waits.
+    pub left: Duration,
+    /// What goes to targets.
+    pub outgoing: Outgoing,
+}
+
+/// The answer to what could not be read, if there is anybody to answer.
+pub fn unreadable(fault: &Fault) -> Option<Reply> {
+    match fault {
+        Fault::Broken => None,
+        Fault::Malformed(what) => Some(Reply::plain(400, what)),
+        Fault::HeadTooLong => Some(Reply::plain(431, "head is too long")),
+        Fault::BodyTooLong => Some(Reply::plain(413, "body is too long")),
+    }
+}
+
+/// Checks a request's first line and says how its body is framed.
+pub fn body_framing(head: &Head) -> Result<Framing, Fault> {
+    if !matches!(head.line[2].as_str(), "HTTP/1.1" | "HTTP/1.0") {
+        return Err(Fault::Malformed("version"));
+    }
+    let target = head.line[1].as_str();
+    if !target.starts_with('/') || target.bytes().any(|b| b <= b' ' || b == 0x7f) {
+        return Err(Fault::Malformed("path"));
+    }
+    http::framing(head, Framing::Length(0))
+}
+
+/// Makes a request a flow by what its headers say, or answers it: with 404 for an unknown class or path,
+/// with 400 for a bad header value.
+pub fn take_in(platform: &Platform, head: &Head, body: Vec<u8>) -> Result<TakenIn, Reply> {
+    let bad = |what: &str| Err(Reply::plain(400, what));
+    let path = head.line[1].split(['?', '#']).next().unwrap_or_default();
+    let first = path.split('/').nth(1).unwrap_or_default();
+    let named = |name: &str| platform.classes.iter().position(|c| c == name);
+    let Some(class) = named(first) else { return Err(Reply::plain(404, "unknown path")) };
+    match head.get("x-service-class").map(named) {
+        Some(None) => return Err(Reply::plain(404, "unknown class")),
+        Some(Some(other)) if other != class => return bad("class and path differ"),
+        _ => {}
+    }
+    let tenant = match head.get("x-account") {
+        Some(name) if !platform.tenants.is_empty() => {
+            let Some(tenant) = platform.tenants.iter().position(|t| t == name) else {
+                return bad("unknown account");
+            };
+            Some(TenantId(tenant as u16))
+        }
+        _ => None,
+    };
+    if head.get("x-correlation-id").is_none_or(str::is_empty) {
+        return bad("no correlation id");
+    }
+    let rules = &platform.balancer.classes[class];
+    let (method, keyed) = match rules.effect {
+        Effect::Safe => ("GET", false),
+        Effect::Keyed { .. } => ("POST", true),
+        Effect::Unsafe => ("POST", false),
+    };
+    if head.line[0] != method {
+        return Err(Reply::plain(405, "the class has another method").with("Allow", method));
+    }
+    if keyed && head.get("idempotency-key").is_none_or(str::is_empty) {
+        return bad("no idempotency key");
+    }
+    let left = head.get("x-time-left-ms").and_then(|v| v.parse().ok()).map(Duration::from_millis);
+    let left = left.filter(|l| *l <= rules.give_up).unwrap_or(rules.give_up);
+    let outgoing = Outgoing { head: passed_on(head, body.len()), body };
+    Ok(TakenIn { class: ClassId(class as u16), tenant, left, outgoing })
+}
+
+/// Headers that concern one connection only, or are stated anew.
+const NOT_PASSED_ON: [&str; 11] = [
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-time-left-ms",
+];
+
+fn passed_on(head: &Head, body: usize) -> String {
+    let mut out = format!("{} {} HTTP/1.1\r\n", head.line[0], head.line[1]);
+    for (name, value) in &head.headers {
+        let own = NOT_PASSED_ON.iter().any(|n| name.eq_ignore_ascii_case(n));
+        if !own && !head.has("connection", name) {
+            let _ = write!(out, "{name}: {value}\r\n");
+        }
+    }
+    if body > 0 || head.line[0] == "POST" {
+        let _ = write!(out, "Content-Length: {body}\r\n");
+    }
+    out
+}
--- /dev/null
+++ b/src/net/list.rs
@@ -0,0 +1,155 @@
+//! The list: discovery, asked when the balancer asks, then watched for as long as the watch holds.
+
+use super::buffer::Buffer;
+use super::{http, within};
+use crate::interface::*;
+use crate::net::servers::Servers;
+use crate::sidecar::{Clock, Lifecycle, Listed, Sidecar, target_id};
+use async_channel::Receiver;
+use async_io::Async;
+use futures_lite::AsyncWriteExt;
+use serde::Deserialize;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a watch may wait before discovery answers it all the same.
+const HOLD: Duration = Duration::from_secs(10);
+/// An answer that is later than this beyond its wait counts as failed.
+const PATIENCE: Duration = Duration::from_millis(1500);
+const LIST_LIMIT: usize = 4 << 20;
+
+/// Discovery's answer, as it stands in a configuration's `known` too.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Answer {
+    /// The list's version.
+    pub generation: u64,
+    /// Whether this is the whole list.
+    #[serde(default)]
+    pub reset: bool,
+    instances: Vec<Line>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Line {
+    instance_id: String,
+    host_port: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    machine_type: String,
+    #[serde(default)]
+    cell: u16,
+    lifecycle: String,
+    #[serde(default)]
+    started_at_ms: u64,
+}
+
+/// The names that the list uses for zones and machine kinds, in the order of the settings.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Machine kinds.
+    pub kinds: Vec<String>,
+}
+
+fn position(names: &[String], name: &str) -> u16 {
+    let at = names.iter().position(|n| n == name);
+    at.and_then(|i| u16::try_from(i).ok()).unwrap_or(u16::MAX)
+}
+
+impl Answer {
+    /// The answer in the core's terms; an unknown lifecycle makes it a bad one.
+    pub fn listed(&self, names: &Names) -> Result<(ListKind, Vec<Listed>), String> {
+        let kind = if self.reset { ListKind::Full } else { ListKind::Delta };
+        let lines = self.instances.iter().map(|line| {
+            let lifecycle = match line.lifecycle.as_str() {
+                "active" => Lifecycle::Active,
+                "leaving" => Lifecycle::Leaving,
+                "left" => Lifecycle::Left,
+                other => return Err(format!("unknown lifecycle {other}")),
+            };
+            Ok(Listed {
+                id: target_id(&line.instance_id),
+                address: line.host_port,
+                zone: ZoneId(position(&names.zones, &line.zone)),
+                cell: CellId(line.cell),
+                kind: KindId(position(&names.kinds, &line.machine_type)),
+                lifecycle,
+                started: Clock::from_unix_ms(line.started_at_ms),
+            })
+        });
+        Ok((kind, lines.collect::<Result<_, _>>()?))
+    }
+}
+
+/// Follows discovery for a sidecar.
+pub struct Watcher {
+    /// Whom to tell.
+    pub sidecar: Rc<Sidecar>,
+    /// Whose connections to targets that want nothing new are closed.
+    pub servers: Rc<Servers>,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// How the list names things.
+    pub names: Names,
+    /// The version last told; `None` before any.
+    pub generation: Option<u64>,
+}
+
+struct Connection {
+    stream: Async<TcpStream>,
+    buffer: Buffer,
+}
+
+impl Watcher {
+    /// Waits for the balancer to ask, watches until that fails, and so on. The balancer decides when to ask
+    /// again; that it asks while the watch is on changes nothing.
+    pub async fn run(mut self, asked: Receiver<()>) {
+        while asked.recv().await.is_ok() {
+            let mut connection = None;
+            while let Ok((kind, listed)) = self.ask(&mut connection).await {
+                self.sidecar.listed(kind, &listed);
+                self.servers.keep_only(|target| self.sidecar.takes_work(target));
+            }
+            while asked.try_recv().is_ok() {}
+            self.sidecar.list_failed();
+        }
+    }
+
+    /// One call: for the whole list at first, then for what is newer.
+    async fn ask(&mut self, connection: &mut Option<Connection>) -> io::Result<(ListKind, Vec<Listed>)> {
+        let (query, hold) = match self.generation {
+            Some(g) => (format!("?from={g}&hold_ms={}", HOLD.as_millis()), HOLD),
+            None => (String::new(), Duration::ZERO),
+        };
+        let mut c = match connection.take() {
+            Some(c) => c,
+            None => {
+                let stream = within(PATIENCE, Async::<TcpStream>::connect(self.discovery)).await?;
+                stream.get_ref().set_nodelay(true)?;
+                Connection { stream, buffer: Buffer::default() }
+            }
+        };
+        let call = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {}\r\n\r\n", self.discovery);
+        let exchange = async {
+            c.stream.write_all(call.as_bytes()).await?;
+            let answer = http::read_answer(&mut c.buffer, &mut c.stream, LIST_LIMIT).await;
+            answer.map_err(|_| io::ErrorKind::InvalidData.into())
+        };
+        let (_, status, body, keep) = within(hold + PATIENCE, exchange).await?;
+        if status != 200 {
+            return Err(io::ErrorKind::Other.into());
+        }
+        let answer: Answer = serde_json::from_slice(&body)?;
+        let listed = answer.listed(&self.names).map_err(io::Error::other)?;
+        self.generation = Some(answer.generation);
+        if keep {
+            *connection = Some(c);
+        }
+        Ok(listed)
+    }
+}
--- /dev/null
+++ b/src/net/servers/mod.rs
@@ -0,0 +1,157 @@
+//! Servers: connections to targets, kept and reused.
+
+mod send;
+
+pub use send::{Outgoing, Served};
+
+use super::buffer::Buffer;
+use crate::interface::EndpointId;
+use crate::settings::ReportFields;
+use crate::sidecar::{Executor, Target};
+use async_executor::Task;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+/// What the pool goes by.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// A connection that takes longer to come up is given up.
+    pub connect_timeout: Duration,
+    /// An idle connection is closed after this long.
+    pub idle: Duration,
+    /// Connections held at most, in use and idle.
+    pub connections: usize,
+    /// Where a load report's values stand.
+    pub fields: ReportFields,
+    /// What a load report's values are called.
+    pub field_names: Vec<String>,
+}
+
+/// A connection to a target.
+struct Connection {
+    stream: Rc<Async<TcpStream>>,
+    buffer: Buffer,
+    address: SocketAddr,
+    _place: Place,
+}
+
+/// Counts a connection for as long as it is open.
+struct Place(Rc<Cell<usize>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// An idle connection, and the task that drops it when it closes or has stood idle for too long.
+struct Idle {
+    number: u64,
+    connection: Connection,
+    _watch: Task<()>,
+}
+
+/// The connections to all targets.
+pub struct Servers {
+    terms: Terms,
+    executor: Executor,
+    idle: RefCell<HashMap<EndpointId, Vec<Idle>>>,
+    next: Cell<u64>,
+    open: Rc<Cell<usize>>,
+    this: Weak<Servers>,
+}
+
+impl Servers {
+    /// A pool without connections.
+    pub fn new(terms: Terms, executor: Executor) -> Rc<Servers> {
+        Rc::new_cyclic(|this| Servers {
+            terms,
+            executor,
+            idle: RefCell::default(),
+            next: Cell::new(0),
+            open: Rc::default(),
+            this: this.clone(),
+        })
+    }
+
+    /// Closes the idle connections to targets that are not wanted any more.
+    pub fn keep_only(&self, wanted: impl Fn(EndpointId) -> bool) {
+        self.idle.borrow_mut().retain(|&id, _| wanted(id));
+    }
+
+    /// The most recently used idle connection to a target that is still open.
+    fn take(&self, target: Target) -> Option<Connection> {
+        loop {
+            let idle = self.idle.borrow_mut().get_mut(&target.id)?.pop()?;
+            let connection = idle.connection;
+            if connection.address == target.address && is_open(&connection.stream) {
+                return Some(connection);
+            }
+        }
+    }
+
+    async fn connect(&self, target: Target) -> io::Result<Connection> {
+        while self.open.get() >= self.terms.connections {
+            if !self.close_oldest() {
+                return Err(io::Error::other("no connection to spare"));
+            }
+        }
+        self.open.set(self.open.get() + 1);
+        let place = Place(self.open.clone());
+        let connect = Async::<TcpStream>::connect(target.address);
+        let stream = super::within(self.terms.connect_timeout, connect).await?;
+        stream.get_ref().set_nodelay(true)?;
+        let (stream, buffer) = (Rc::new(stream), Buffer::default());
+        Ok(Connection { stream, buffer, address: target.address, _place: place })
+    }
+
+    /// Closes the connection that has stood idle for longest; false where there is none.
+    pub fn close_oldest(&self) -> bool {
+        let mut pools = self.idle.borrow_mut();
+        let oldest = pools.iter().filter_map(|(&id, p)| p.first().map(|i| (i.number, id))).min();
+        if let Some(pool) = oldest.and_then(|(_, id)| pools.get_mut(&id)) {
+            pool.remove(0);
+        }
+        oldest.is_some()
+    }
+
+    /// Keeps a connection for the next forward.
+    fn put(&self, target: EndpointId, connection: Connection) {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let (this, stream, idle) = (self.this.clone(), connection.stream.clone(), self.terms.idle);
+        let watch = self.executor.spawn(async move {
+            let closed = async {
+                let _ = stream.readable().await;
+            };
+            let aged = async {
+                Timer::after(idle).await;
+            };
+            future::or(closed, aged).await;
+            let Some(servers) = this.upgrade() else { return };
+            let gone = {
+                let mut pools = servers.idle.borrow_mut();
+                let pool = pools.get_mut(&target);
+                pool.and_then(|p| p.iter().position(|i| i.number == number).map(|at| p.remove(at)))
+            };
+            if let Some(Idle { connection, _watch: watch, .. }) = gone {
+                drop(connection);
+                watch.detach(); // It is this very task.
+            }
+        });
+        let idle = Idle { number, connection, _watch: watch };
+        self.idle.borrow_mut().entry(target).or_default().push(idle);
+    }
+}
+
+/// Whether an idle connection is still open: nothing may have arrived on it, not even its end.
+fn is_open(stream: &Async<TcpStream>) -> bool {
+    let mut stream = stream.get_ref();
+    matches!(stream.read(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
--- /dev/null
+++ b/src/net/servers/send.rs
@@ -0,0 +1,143 @@
+//! Send: one forward goes to its target, and what comes back is put in the balancer's terms.
+
+use super::{Connection, Servers};
+use crate::interface::*;
+use crate::net::http::{self, Head};
+use crate::sidecar::{Forward, Halt};
+use async_io::Timer;
+use futures_lite::{AsyncWriteExt, future};
+use std::cell::Cell;
+use std::fmt::Write;
+use std::time::Instant;
+
+/// A request as it goes to targets: all of it but the time left.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// The first line and the headers that pass on, each line with its end.
+    pub head: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// What a target's serving a forward gave.
+#[derive(Clone, Debug, Default)]
+pub struct Served {
+    /// What its body holds, as a header says.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// How far a forward has come.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// No byte of it is written.
+    NotBegun,
+    /// Its first byte is written.
+    Begun,
+    /// Its last byte is written: it may run.
+    Written,
+}
+
+/// How a forward ended, and the load report that came along.
+pub type Ended = (Outcome, Option<LoadReport>, Served);
+
+impl Servers {
+    /// Sends a forward, and waits until it is answered, broken, halted or out of time. To give it up, its
+    /// connection is closed.
+    pub async fn send(&self, forward: &Forward, until: Instant, message: &Outgoing) -> Ended {
+        let progress = Cell::new(Progress::NotBegun);
+        let ended = |outcome| (outcome, None, Served::default());
+        let timeout = async {
+            Timer::at(until).await;
+            // What was not written whole never ran.
+            let written = progress.get() == Progress::Written;
+            ended(if written { Outcome::TimedOut } else { Outcome::ConnectFailed })
+        };
+        let halted = async {
+            loop {
+                match forward.halted().await {
+                    Halt::Withdrawn => return ended(Outcome::Cancelled),
+                    Halt::TargetLeft if progress.get() == Progress::NotBegun => {
+                        return ended(Outcome::ConnectFailed);
+                    }
+                    Halt::TargetLeft => {}
+                }
+            }
+        };
+        let exchange = self.exchange(forward, until, message, &progress);
+        future::or(exchange, future::or(halted, timeout)).await
+    }
+
+    async fn exchange(
+        &self,
+        forward: &Forward,
+        until: Instant,
+        message: &Outgoing,
+        progress: &Cell<Progress>,
+    ) -> Ended {
+        let target = forward.target;
+        let failed = |outcome| (outcome, None, Served::default());
+        let connection = match self.take(target) {
+            Some(connection) => Ok(connection),
+            None => self.connect(target).await,
+        };
+        let Ok(mut connection) = connection else { return failed(Outcome::ConnectFailed) };
+        if !forward.wanted() {
+            self.put(target.id, connection);
+            return failed(Outcome::ConnectFailed);
+        }
+        let bytes = serialize(message, until);
+        if write(&connection, &bytes, progress).await.is_err() {
+            return failed(Outcome::ConnectFailed);
+        }
+        let mut stream = &*connection.stream;
+        let answer = http::read_answer(&mut connection.buffer, &mut stream, http::BODY_LIMIT).await;
+        let Ok((head, status, body, keep)) = answer else { return failed(Outcome::Reset) };
+        if keep && connection.buffer.is_empty() {
+            self.put(target.id, connection);
+        }
+        let outcome = match status {
+            200 => Outcome::Ok,
+            503 | 504 if head.get("x-unprocessed") == Some("1") => Outcome::Full,
+            _ => Outcome::Error,
+        };
+        let content_type = head.get("content-type").map(str::to_owned);
+        (outcome, self.report(&head), Served { content_type, body })
+    }
+
+    /// The load report of an answer; one that cannot be read is none.
+    fn report(&self, head: &Head) -> Option<LoadReport> {
+        let text = head.get("x-backend-load")?;
+        let value = |i: usize| {
+            let name = self.terms.field_names.get(i)?;
+            let pair = text.split(',').filter_map(|p| p.split_once('='));
+            pair.into_iter().find(|(n, _)| n.trim() == name)?.1.trim().parse().ok()
+        };
+        Some(self.terms.fields.report(value))
+    }
+}
+
+async fn write(connection: &Connection, bytes: &[u8], progress: &Cell<Progress>) -> std::io::Result<()> {
+    let mut stream = &*connection.stream;
+    let mut written = 0;
+    while written < bytes.len() {
+        match stream.write(&bytes[written..]).await? {
+            0 => return Err(std::io::ErrorKind::WriteZero.into()),
+            n => written += n,
+        }
+        progress.set(Progress::Begun);
+    }
+    progress.set(Progress::Written);
+    Ok(())
+}
+
+fn serialize(message: &Outgoing, until: Instant) -> Vec<u8> {
+    let left = until.saturating_duration_since(Instant::now());
+    let mut head = String::with_capacity(message.head.len() + 64);
+    head.push_str(&message.head);
+    let _ = write!(head, "X-Time-Left-Ms: {}\r\n\r\n", left.as_millis());
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(&message.body);
+    bytes
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,4 +1,4 @@
-//! Every decision that heronlane makes; its events, actions and settings are in `src/interface.rs`.
+//! Every decision that cottonpoint makes; its events, actions and settings are in `src/interface.rs`.
 //!
 //! A call is classified into a priority level by what it is worth, and into a flow by its tenant. It joins
 //! the shortest queue of the hand its flow is dealt. While the width-weighted running calls stay below the
--- /dev/null
+++ b/src/sidecar/mod.rs
@@ -0,0 +1,163 @@
+//! The sidecar's core, free of any protocol: it owns the balancer, the clock, the timers, the ids and the
+//! lifecycle of flows. It feeds events to the balancer and carries out what the balancer asks for.
+//!
+//! A front takes a flow in, calls [`Sidecar::admit`], then follows [`Flow::route`] step by step: each
+//! [`Forward`] is sent by whatever speaks to targets and booked with its outcome, until a step ends the flow.
+
+mod admit;
+mod book;
+mod clock;
+mod route;
+mod targets;
+
+pub use admit::{Flow, NewFlow};
+pub use book::Forward;
+pub use clock::Clock;
+pub use route::{FixedResponse, Halt, Step};
+pub use targets::{Group, Lifecycle, Listed, Target, target_id};
+
+use crate::interface::*;
+use crate::policy::Balancer;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+/// The executor that runs all of a sidecar's tasks on one thread.
+pub type Executor = Rc<LocalExecutor<'static>>;
+
+/// One flow as the core follows it.
+struct Entry {
+    steps: Sender<Step>,
+    /// For each forward: what may halt it, and where it goes.
+    forwards: Vec<(Sender<Halt>, EndpointId)>,
+    /// The final answer has been given, or is owed no more.
+    closed: bool,
+}
+
+struct Core {
+    balancer: Balancer,
+    flows: HashMap<RequestId, Entry>,
+    group: Group,
+    actions: Vec<Action>,
+}
+
+/// The core: one balancer with all that it needs to live on real time.
+pub struct Sidecar {
+    core: RefCell<Core>,
+    clock: Clock,
+    executor: Executor,
+    next_flow: Cell<u64>,
+    subscribe: Sender<()>,
+}
+
+impl Sidecar {
+    /// A sidecar without targets. The receiver yields whenever the balancer asks for the target group.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        clock: Clock,
+        executor: Executor,
+    ) -> (Rc<Self>, Receiver<()>) {
+        let (subscribe, subscriptions) = async_channel::unbounded();
+        let core = Core {
+            balancer: Balancer::new(settings, seed, clock.now()),
+            flows: HashMap::new(),
+            group: Group::default(),
+            actions: Vec::new(),
+        };
+        let sidecar = Sidecar { core: core.into(), clock, executor, next_flow: Cell::new(1), subscribe };
+        (Rc::new(sidecar), subscriptions)
+    }
+
+    /// The clock of all events.
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// Whether the list names any target, of whatever lifecycle.
+    pub fn has_targets(&self) -> bool {
+        !self.core.borrow().group.is_empty()
+    }
+
+    /// Whether a target is listed and takes new work.
+    pub fn takes_work(&self, target: EndpointId) -> bool {
+        self.core.borrow().group.takes_work(target)
+    }
+
+    /// Takes discovery's word on targets and acts on it at once: a send that has not begun to a target that
+    /// wants nothing new is halted.
+    pub fn listed(self: &Rc<Self>, kind: ListKind, entries: &[Listed]) {
+        let endpoints = {
+            let mut core = self.core.borrow_mut();
+            let endpoints = core.group.update(kind, entries);
+            for entry in core.flows.values() {
+                if let Some((halt, target)) = entry.forwards.last()
+                    && !core.group.takes_work(*target)
+                {
+                    let _ = halt.try_send(Halt::TargetLeft);
+                }
+            }
+            endpoints
+        };
+        self.feed(Event::Endpoints { kind, entries: &endpoints });
+    }
+
+    /// Tells the balancer that the list could not be had; the one held stays valid.
+    pub fn list_failed(self: &Rc<Self>) {
+        self.feed(Event::DiscoveryFailed);
+    }
+
+    /// Feeds one event and carries out what follows from it. Carrying out only queues steps and starts
+    /// timers, so it never comes back here while the core is borrowed.
+    fn feed(self: &Rc<Self>, event: Event<'_>) {
+        let mut core = self.core.borrow_mut();
+        let mut follow_ups = VecDeque::new();
+        let mut actions = std::mem::take(&mut core.actions);
+        core.balancer.handle(self.clock.now(), event, &mut actions);
+        loop {
+            for action in actions.drain(..) {
+                follow_ups.extend(self.carry_out(&mut core, action));
+            }
+            let Some(event) = follow_ups.pop_front() else { break };
+            core.balancer.handle(self.clock.now(), event, &mut actions);
+        }
+        core.actions = actions;
+    }
+
+    fn carry_out(self: &Rc<Self>, core: &mut Core, action: Action) -> Option<Event<'static>> {
+        match action {
+            Action::Send { id, endpoint, until } => {
+                return route::forward(self, core, id, endpoint, until);
+            }
+            Action::Refuse { id, retry_after } => {
+                route::answer(core, id, FixedResponse::Refused { retry_after });
+            }
+            Action::Fail { id } => route::answer(core, id, FixedResponse::Failed),
+            Action::Cancel { id, attempt } => {
+                let entry = core.flows.get(&id);
+                if let Some((halt, _)) = entry.and_then(|e| e.forwards.get(usize::from(attempt))) {
+                    let _ = halt.try_send(Halt::Withdrawn);
+                }
+            }
+            Action::SetTimer { after, token } => {
+                let sidecar = Rc::downgrade(self);
+                let timer = async move {
+                    Timer::after(after).await;
+                    if let Some(sidecar) = sidecar.upgrade() {
+                        sidecar.feed(Event::Timer { token });
+                    }
+                };
+                self.executor.spawn(timer).detach();
+            }
+            Action::Subscribe => {
+                let _ = self.subscribe.try_send(());
+            }
+            // The platform forbids probes and gives them no form on the socket.
+            Action::Probe { .. } => {}
+        }
+        None
+    }
+}
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use heronlane::*;
+use cottonpoint::*;
 
 fn on_request(seed: u64) -> (Balancer, Time) {
     let mut s = settings();
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use heronlane::*;
+use cottonpoint::*;
 use std::collections::BTreeMap;
 
 fn report(utilization: f64, rate: f64) -> Option<LoadReport> {
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use heronlane::*;
+use cottonpoint::*;
 
 fn many() -> Vec<Endpoint> {
     (1..=100).map(endpoint).collect()
--- a/tests/queueing.rs
+++ b/tests/queueing.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use heronlane::*;
+use cottonpoint::*;
 
 fn tenants(quota_per_s: f64) -> Settings {
     let mut s = crowded(200);
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use heronlane::*;
+use cottonpoint::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use heronlane::*;
+use cottonpoint::*;
 
 fn ten() -> Vec<Endpoint> {
     (1..=10).map(endpoint).collect()
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -27,7 +27,7 @@
 ";
 
 fn play(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_heronlane-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cottonpoint-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
