Ask for the list also when none is known at the start; stories over loopback

Seen: the story that starts a sidecar without `known` hung. The balancer's first timer is armed only with its first event (policy.rs: `handle` calls `arm`, `new` does not), and serve.rs fed none when there was no list, so discovery was never asked. Ruled out: discovery's scripted answer (the call never came) and the readiness check. serve.rs now always tells the balancer of a list, empty or not.

Seen: with 96 descriptors, 100 kept connections got a refusal in between: idle ones made room only from nine tenths on, where requests are refused too. They make room from eight tenths on now.

Tests: ten stories against scripted peers (tests/sidecar), one for each thing guarded against.

--- a/src/net/clients/mod.rs
+++ b/src/net/clients/mod.rs
@@ -41,7 +41,8 @@
     servers: Rc<Servers>,
     platform: Platform,
     executor: Executor,
-    /// Connections served at most; those beyond the first nine tenths are turned away.
+    /// Connections served at most; idle ones make room from eight tenths on, and beyond nine tenths
+    /// requests are turned away.
     connections: usize,
     open: Cell<usize>,
     /// Connections between requests, the one idle for longest first, and how to close them.
@@ -84,7 +85,7 @@
             }
             match incoming.next().await {
                 Some(Ok(stream)) => {
-                    if self.open.get() * 10 >= self.connections * 9 {
+                    if self.open.get() * 10 >= self.connections * 8 {
                         self.close_longest_idle();
                     }
                     let open = Open::new(self.clone());
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,7 @@
 //! The sidecar as a program: its parts put together, from the first connection to the last.
 
 use crate::config::Config;
+use crate::interface::ListKind;
 use crate::net::clients::Clients;
 use crate::net::list::{Names, Watcher};
 use crate::net::servers::{Servers, Terms};
@@ -44,11 +45,11 @@
         field_names: platform.field_names.clone(),
     };
     let servers = Servers::new(terms, executor.clone());
-    let mut generation = None;
-    if let Some((kind, listed)) = config.known.as_ref().and_then(|k| k.listed(&names).ok()) {
-        sidecar.listed(kind, &listed);
-        generation = config.known.map(|k| k.generation);
-    }
+    // The balancer comes to life with its first event: it is told of an empty list too.
+    let known = config.known.as_ref().and_then(|k| k.listed(&names).ok());
+    let (kind, listed) = known.unwrap_or((ListKind::Full, Vec::new()));
+    sidecar.listed(kind, &listed);
+    let generation = config.known.map(|k| k.generation);
     let watcher = Watcher {
         sidecar: sidecar.clone(),
         servers: servers.clone(),
--- /dev/null
+++ b/tests/sidecar/main.rs
@@ -0,0 +1,273 @@
+//! The sidecar on sockets, against scripted peers: one story for each failure that it guards against.
+#![allow(missing_docs)]
+
+mod peers;
+
+use insta::assert_snapshot;
+use peers::*;
+use std::io::Write;
+use std::net::Shutdown;
+
+/// A message without the figure that differs from run to run.
+fn steady(text: &str) -> String {
+    let lines = text.lines().map(|l| match l.split_once("X-Time-Left-Ms: ") {
+        Some((before, ms)) => {
+            assert!((1..=1000).contains(&ms.parse().expect("whole milliseconds")), "until the aim: {ms}");
+            format!("{before}X-Time-Left-Ms: (left)")
+        }
+        None => l.to_owned(),
+    });
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+/// Guards against: anything of a request changed on its way, or its answer.
+#[test]
+fn requests_and_answers_pass_unchanged() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let mut client = sidecar.client();
+    send(&mut client, ORDER);
+    let mut came = target.accept();
+    assert_snapshot!(steady(&came.text), @r"
+    POST /order HTTP/1.1
+    Host: service.internal
+    X-Correlation-Id: c2
+    X-Account: north
+    Idempotency-Key: k2
+    Content-Length: 5
+    X-Time-Left-Ms: (left)
+
+    paper
+    ");
+    came.reply("200 OK", "X-Backend-Load: throughput=zero,utilization=\r\n", "{\"sheets\": 3}\n");
+    assert_snapshot!(message(&mut client), @r#"
+    HTTP/1.1 200 OK
+    Content-Length: 14
+
+    {"sheets": 3}
+    "#);
+    // The same connections serve the next request, on both sides.
+    send(&mut client, LOOK);
+    assert_snapshot!(steady(came.next()), @r"
+    GET /look/7?size=2 HTTP/1.1
+    Host: service.internal
+    X-Correlation-Id: c1
+    X-Service-Class: look
+    X-Account: north
+    X-Time-Left-Ms: (left)
+    ");
+    came.stream
+        .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+        .unwrap();
+    assert!(message(&mut client).ends_with("\n\nabc"));
+    sidecar.ends();
+}
+
+/// Guards against: a target's 503 passed on, which would promise the client that nothing ran.
+#[test]
+fn a_targets_503_proves_nothing_but_an_unprocessed_one_does() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let mut client = sidecar.client();
+    send(&mut client, LOOK);
+    let mut came = target.accept();
+    came.reply("503 Service Unavailable", "X-Unprocessed: 1\r\n", "");
+    // Turned away, it is paused; a second try comes once it is not, and its bare 503 is an error.
+    came.next();
+    came.reply("503 Service Unavailable", "", "busy");
+    came.next();
+    came.reply("200 OK", "", "third");
+    assert!(message(&mut client).ends_with("third"));
+    sidecar.ends();
+}
+
+/// Guards against: a request re-sent unasked when its connection dies under it, and lost with it.
+#[test]
+fn a_reset_is_one_forward_and_the_balancer_decides_on_the_next() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let mut client = sidecar.client();
+    send(&mut client, ORDER);
+    drop(target.accept());
+    let mut second = target.accept();
+    assert!(second.text.contains("Idempotency-Key: k2"));
+    second.reply("200 OK", "", "done");
+    assert!(message(&mut client).ends_with("done"));
+    sidecar.ends();
+}
+
+/// Guards against: a kept connection used although the target has closed it.
+#[test]
+fn a_kept_connection_that_was_closed_is_not_used() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let mut client = sidecar.client();
+    for _ in 0..3 {
+        send(&mut client, LOOK);
+        let mut came = target.accept();
+        came.reply("200 OK", "", "ok");
+        // Closed before the answer is read: the next request must not meet it.
+        came.stream.shutdown(Shutdown::Both).unwrap();
+        assert!(message(&mut client).starts_with("HTTP/1.1 200"));
+    }
+    sidecar.ends();
+}
+
+/// Guards against: work for a client that has gone.
+#[test]
+fn a_client_that_leaves_takes_its_forward_along() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let mut client = sidecar.client();
+    send(&mut client, LOOK);
+    let mut came = target.accept();
+    drop(client);
+    assert_eq!(came.next(), "", "its connection is closed");
+    sidecar.ends();
+}
+
+/// Guards against: a flow that the balancer has given up on held back until its deadline, with no word of
+/// when to come back.
+#[test]
+fn a_flow_without_an_answer_in_time_is_refused_with_advice() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let begun = std::time::Instant::now();
+    let mut client = sidecar.client();
+    send(&mut client, LOOK);
+    let came = target.accept();
+    assert_snapshot!(message(&mut client), @r"
+    HTTP/1.1 503 Service Unavailable
+    Content-Type: text/plain
+    Retry-After: 2.000
+    Content-Length: 8
+
+    refused
+    ");
+    assert!(begun.elapsed().as_millis() < 2000, "at its aim of 1 s, not near its deadline of 3 s");
+    drop(came);
+    sidecar.ends();
+}
+
+/// Guards against: new work to a target that is leaving, and the list lost when discovery fails.
+#[test]
+fn the_list_is_followed_and_outlives_its_source() {
+    let (old, new, discovery) = (Peer::new(), Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[old.address], &discovery);
+    let mut call = discovery.accept();
+    assert_snapshot!(call.text.lines().next().unwrap(), @"GET /registry/instances?from=1&hold_ms=10000 HTTP/1.1");
+    let change = [line("t0", old.address, "leaving"), line("t1", new.address, "active")];
+    call.reply("200 OK", "", &list(2, false, &change));
+    // It watches on from there, so it has acted on what it was told.
+    assert!(call.next().starts_with("GET /registry/instances?from=2&"));
+    let seen = new.echo();
+    assert!(sidecar.ask(LOOK).ends_with("GET /look/7?size=2 HTTP/1.1"));
+    assert!(seen.recv().unwrap().starts_with("GET /look"));
+    // A bad answer is a failed call: it asks anew, from the version it holds, and serves meanwhile.
+    call.reply("200 OK", "", r#"{"generation":3,"reset":true,"instances":[{"instanceId":"t0"}]}"#);
+    assert!(sidecar.ask(LOOK).starts_with("HTTP/1.1 200"));
+    assert!(discovery.accept().text.starts_with("GET /registry/instances?from=2&"));
+    sidecar.ends();
+}
+
+/// Guards against: a sidecar that starts without a list and never asks for one (the balancer's first timer was
+/// set only with its first event), readiness before the list is there, and answers lost at a planned stop.
+#[test]
+fn it_is_ready_once_it_has_a_list_and_until_it_is_told_to_stop() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::start(&config(discovery.address, "null", 1024));
+    let ready = "GET /health/ready HTTP/1.1\nHost: n0\n\n";
+    assert!(sidecar.ask(ready).starts_with("HTTP/1.1 503"));
+    let mut call = discovery.accept();
+    assert_snapshot!(call.text.lines().next().unwrap(), @"GET /registry/instances HTTP/1.1");
+    call.reply("200 OK", "", &list(1, true, &[line("t0", target.address, "active")]));
+    call.next();
+    assert!(sidecar.ask(ready).starts_with("HTTP/1.1 200"));
+
+    // What it has taken is answered after the word to stop, and so is what comes right after it.
+    let mut client = sidecar.client();
+    send(&mut client, LOOK);
+    let mut came = target.accept();
+    sidecar.stop();
+    while !sidecar.ask(ready).starts_with("HTTP/1.1 503") {}
+    let mut late = sidecar.client();
+    send(&mut late, ORDER);
+    let mut second = target.accept();
+    second.reply("200 OK", "", "late");
+    assert!(message(&mut late).contains("Connection: close"));
+    came.reply("200 OK", "", "early");
+    assert!(message(&mut client).ends_with("early"));
+    sidecar.ends();
+}
+
+/// Guards against: bad input that reaches the balancer or a target, or stops the program.
+#[test]
+fn bad_input_is_answered_here() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let seen = target.echo();
+    let mut answers = String::new();
+    for (what, request) in [
+        ("no HTTP", "hello\n\n".to_owned()),
+        ("no version", LOOK.replace(" HTTP/1.1", "")),
+        ("broken header", LOOK.replace("Host: ", "Host ")),
+        ("two lengths", ORDER.replace("Content-Length: 5", "Content-Length: 5\nContent-Length: 6")),
+        (
+            "two framings",
+            ORDER.replace("Content-Length: 5", "Content-Length: 5\nTransfer-Encoding: chunked"),
+        ),
+        ("odd length", ORDER.replace("Length: 5", "Length: +5")),
+        ("long head", LOOK.replace("c1", &"c".repeat(20_000))),
+        ("long body", ORDER.replace("Length: 5", "Length: 65537")),
+        ("unknown path", LOOK.replace("/look/7", "/nosuch")),
+        ("unknown class", LOOK.replace("Class: look", "Class: nosuch")),
+        ("another class", LOOK.replace("Class: look", "Class: order")),
+        ("unknown account", LOOK.replace("north", "south")),
+        ("no id", LOOK.replace("X-Correlation-Id: c1\n", "")),
+        ("no key", ORDER.replace("Idempotency-Key: k2\n", "")),
+        ("wrong method", LOOK.replace("GET", "DELETE")),
+    ] {
+        let answer = sidecar.ask(&request);
+        let close = if answer.contains("Connection: close") { ", closes" } else { "" };
+        answers += &format!("{what}: {}{close}\n", answer.lines().next().unwrap_or("nothing"));
+    }
+    assert_snapshot!(answers, @r"
+    no HTTP: HTTP/1.1 400 Bad Request, closes
+    no version: HTTP/1.1 400 Bad Request, closes
+    broken header: HTTP/1.1 400 Bad Request, closes
+    two lengths: HTTP/1.1 400 Bad Request, closes
+    two framings: HTTP/1.1 400 Bad Request, closes
+    odd length: HTTP/1.1 400 Bad Request, closes
+    long head: HTTP/1.1 431 Request Header Fields Too Large, closes
+    long body: HTTP/1.1 413 Content Too Large, closes
+    unknown path: HTTP/1.1 404 Not Found
+    unknown class: HTTP/1.1 404 Not Found
+    another class: HTTP/1.1 400 Bad Request
+    unknown account: HTTP/1.1 400 Bad Request
+    no id: HTTP/1.1 400 Bad Request
+    no key: HTTP/1.1 400 Bad Request
+    wrong method: HTTP/1.1 405 Method Not Allowed
+    ");
+    // A time left that cannot be read stands for the class's own.
+    assert!(sidecar.ask(&LOOK.replace("3000", "soon")).starts_with("HTTP/1.1 200"));
+    assert!(seen.recv().unwrap().starts_with("GET /look"));
+    assert!(seen.try_recv().is_err(), "nothing else reached the target");
+    sidecar.ends();
+}
+
+/// Guards against: idle connections that use up the descriptors and shut others out.
+#[test]
+fn more_connections_than_descriptors_allow_make_room_for_each_other() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let known = list(1, true, &[line("t0", target.address, "active")]);
+    let sidecar = Running::start(&config(discovery.address, &known, 96));
+    let _seen = target.echo();
+    let mut kept = Vec::new();
+    for _ in 0..100 {
+        let mut client = sidecar.client();
+        send(&mut client, LOOK);
+        assert!(message(&mut client).starts_with("HTTP/1.1 200"));
+        kept.push(client);
+    }
+    sidecar.ends();
+}
