--- a/src/bin/cottonpoint.rs
+++ b/src/bin/cottonpoint.rs
@@ -1,7 +1,7 @@
 //! The sidecar's command line.
 
 use async_signal::{Signal, Signals};
-use bpaf::Bpaf;
+use bpaf::{Bpaf, Parser, long};
 use cottonpoint::config::Config;
 use cottonpoint::serve;
 use std::net::TcpListener;
@@ -15,8 +15,13 @@
     /// Serve until told to stop by SIGTERM or SIGINT
     #[bpaf(command)]
     Serve {
-        /// The configuration, as JSON
-        #[bpaf(long, env("NODE_CONFIG"), argument("FILE"))]
+        #[bpaf(external(file))]
+        config: PathBuf,
+    },
+    /// Read the configuration, say what it comes to, and start nothing
+    #[bpaf(command)]
+    Check {
+        #[bpaf(external(file))]
         config: PathBuf,
     },
     /// Print the program's version
@@ -24,6 +29,16 @@
     Version,
 }
 
+fn file() -> impl Parser<PathBuf> {
+    long("config").env("NODE_CONFIG").help("The configuration, as JSON").argument("FILE")
+}
+
+fn check(path: PathBuf) -> Result<(), String> {
+    let config = Config::load(&path).map_err(|e| e.to_string())?;
+    println!("{config}");
+    Ok(())
+}
+
 fn serve(path: PathBuf) -> Result<(), String> {
     let config = Config::load(&path).map_err(|e| e.to_string())?;
     let stop =
@@ -39,6 +54,7 @@
 fn main() -> ExitCode {
     let done = match command().run() {
         Command::Serve { config } => serve(config),
+        Command::Check { config } => check(config),
         Command::Version => {
             println!("cottonpoint {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/src/config.rs
+++ b/src/config.rs
@@ -72,6 +72,10 @@
             Some(_) => Err(bad(key, "must be a string")),
             None => variable(stand_in).ok_or_else(|| bad(key, format!("is missing, and so is {stand_in}"))),
         };
+        let name = match (json.get("name"), variable("NODE_NAME")) {
+            (None, None) => "cottonpoint".to_owned(),
+            _ => word("name", "NODE_NAME")?,
+        };
         let address = |key: &str, stand_in: &str| {
             let text = word(key, stand_in)?;
             text.parse::<SocketAddr>().map_err(|_| bad(key, format!("must be an address and port: {text}")))
@@ -107,7 +111,7 @@
         // A flow holds a connection on either side; clients keep some more.
         let spare = usize::try_from(sockets).unwrap_or(usize::MAX).min(1 << 16) - RESERVE;
         Ok(Config {
-            name: word("name", "NODE_NAME").unwrap_or_else(|_| "cottonpoint".into()),
+            name,
             listen: address("listen", "NODE_LISTEN")?,
             discovery: address("discovery", "NODE_DISCOVERY")?,
             seed,
@@ -118,3 +122,24 @@
         })
     }
 }
+
+impl fmt::Display for Config {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let balancer = &self.platform.balancer;
+        writeln!(f, "name         {}", self.name)?;
+        writeln!(f, "listen       {}", self.listen)?;
+        writeln!(f, "discovery    {}", self.discovery)?;
+        writeln!(f, "balancer     {} of {}", balancer.me, balancer.siblings)?;
+        writeln!(f, "classes      {}", self.platform.classes.join(", "))?;
+        writeln!(f, "tenants      {}", self.platform.tenants.join(", "))?;
+        writeln!(
+            f,
+            "connections  {} clients, {} targets",
+            self.client_connections, self.target_connections
+        )?;
+        match &self.known {
+            Some(known) => write!(f, "known        list {}", known.generation),
+            None => write!(f, "known        no list"),
+        }
+    }
+}
--- a/src/net/clients/mod.rs
+++ b/src/net/clients/mod.rs
@@ -20,7 +20,7 @@
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A message that has begun must be whole within this time; a slow peer is given up.
 const SLOW_PEER: Duration = Duration::from_secs(10);
@@ -32,9 +32,15 @@
 const TRAVEL: Duration = Duration::from_millis(5);
 /// A flow that the balancer has not settled this long after its due is failed all the same.
 const OVERDUE: Duration = Duration::from_millis(20);
-/// Pause after a connection could not be accepted.
+/// Pause before accepting is tried again.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
+/// How long a request that has begun is left alone when connections run short.
+const SENDING: Duration = Duration::from_secs(1);
+
+/// Connections that may be closed, in the order and with the time of their entry, and how to close them.
+type Closable = RefCell<BTreeMap<u64, (Instant, Sender<()>)>>;
+
 /// All that client connections share.
 pub struct Clients {
     sidecar: Rc<Sidecar>,
@@ -46,8 +52,10 @@
     connections: usize,
     open: Cell<usize>,
     /// Connections between requests, the one idle for longest first, and how to close them.
-    idle: RefCell<BTreeMap<u64, Sender<()>>>,
-    next_idle: Cell<u64>,
+    idle: Closable,
+    /// Connections whose request has begun and is not whole, the longest first.
+    sending: Closable,
+    next: Cell<u64>,
     leaving: Cell<bool>,
     closed: (Sender<()>, Receiver<()>),
 }
@@ -69,30 +77,35 @@
             connections,
             open: Cell::new(0),
             idle: RefCell::default(),
-            next_idle: Cell::new(0),
+            sending: RefCell::default(),
+            next: Cell::new(0),
             leaving: Cell::new(false),
             closed: async_channel::bounded(1),
         })
     }
 
-    /// Accepts connections for good. At the bound, the connection idle for longest makes room.
+    /// Accepts connections for good. At the bound, the connection idle for longest makes room, then the one
+    /// that has been sending a request for longest: what is not whole has not been taken.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
         let mut incoming = Box::pin(listener.incoming());
         loop {
             while self.open.get() >= self.connections {
-                self.close_longest_idle();
-                let _ = self.closed.1.recv().await;
+                self.make_room(Duration::ZERO);
+                future::or(self.one_closed(), async {
+                    Timer::after(ACCEPT_AGAIN).await;
+                })
+                .await;
             }
             match incoming.next().await {
                 Some(Ok(stream)) => {
                     if self.open.get() * 10 >= self.connections * 8 {
-                        self.close_longest_idle();
+                        self.make_room(SENDING);
                     }
                     let open = Open::new(self.clone());
                     self.executor.spawn(async move { open.0.clone().connection(stream).await }).detach();
                 }
                 Some(Err(e)) if out_of_descriptors(&e) => {
-                    self.close_longest_idle();
+                    self.make_room(SENDING);
                     self.servers.close_oldest();
                     Timer::after(ACCEPT_AGAIN).await;
                 }
@@ -109,7 +122,15 @@
 
     /// Closes all connections that are between requests.
     pub fn close_idle(&self) {
-        while self.close_longest_idle() {}
+        while close_first(&self.idle, Duration::ZERO) {}
+    }
+
+    /// Asks one connection to close: the one idle for longest, or else the one that has been sending a
+    /// request for longest, if for so long at least.
+    fn make_room(&self, sending: Duration) {
+        if !close_first(&self.idle, Duration::ZERO) {
+            close_first(&self.sending, sending);
+        }
     }
 
     /// Connections that are open.
@@ -122,16 +143,20 @@
         let _ = self.closed.1.recv().await;
     }
 
-    fn close_longest_idle(&self) -> bool {
-        let first = self.idle.borrow_mut().pop_first();
-        first.is_some_and(|(_, close)| close.try_send(()).is_ok())
-    }
-
     async fn connection(self: Rc<Self>, stream: Async<TcpStream>) {
         let _ = stream.get_ref().set_nodelay(true);
         let mut buffer = Buffer::default();
         while self.await_request(&stream, &mut buffer).await {
-            let request = within(SLOW_PEER, async { Ok(self.read(&stream, &mut buffer).await) }).await;
+            let (close, closing) = async_channel::bounded(1);
+            let number = self.number();
+            self.sending.borrow_mut().insert(number, (Instant::now(), close));
+            let read = async { Ok(self.read(&stream, &mut buffer).await) };
+            let evicted = async {
+                let _ = closing.recv().await;
+                Err(io::ErrorKind::TimedOut.into())
+            };
+            let request = within(SLOW_PEER, future::or(read, evicted)).await;
+            self.sending.borrow_mut().remove(&number);
             let (reply, keep) = match request {
                 Ok(Ok(Some((head, body)))) => {
                     let keep = head.keeps_alive(&head.line[2]);
@@ -154,15 +179,18 @@
         }
     }
 
+    fn number(&self) -> u64 {
+        self.next.replace(self.next.get() + 1)
+    }
+
     /// Waits for the first byte of a request; false when the connection is to end without one.
     async fn await_request(&self, stream: &Async<TcpStream>, buffer: &mut Buffer) -> bool {
         if !buffer.is_empty() {
             return true;
         }
         let (close, closing) = async_channel::bounded(1);
-        let number = self.next_idle.get();
-        self.next_idle.set(number + 1);
-        self.idle.borrow_mut().insert(number, close);
+        let number = self.number();
+        self.idle.borrow_mut().insert(number, (Instant::now(), close));
         let mut reader = stream;
         let arrived = async { matches!(buffer.fill(&mut reader).await, Ok(n) if n > 0) };
         let ended = async {
@@ -215,7 +243,7 @@
         };
         if self.open.get() * 10 > self.connections * 9 {
             return Some(Reply::fixed(FixedResponse::Refused {
-                retry_after: Some(Duration::from_secs(1)),
+                retry_after: self.platform.max_retry_after,
             }));
         }
         self.follow(taken, stream, buffer).await
@@ -285,6 +313,15 @@
     }
 }
 
+/// Closes the connection that has stood in a list for longest, if for so long at least.
+fn close_first(list: &Closable, age: Duration) -> bool {
+    let mut list = list.borrow_mut();
+    match list.first_entry() {
+        Some(first) if first.get().0.elapsed() >= age => first.remove().1.try_send(()).is_ok(),
+        _ => false,
+    }
+}
+
 /// Lets the client read the last answer before the connection goes: closing with bytes unread would reset it.
 async fn linger(stream: &Async<TcpStream>, buffer: &mut Buffer) {
     let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -17,7 +17,10 @@
 /// How long a watch may wait before discovery answers it all the same.
 const HOLD: Duration = Duration::from_secs(10);
 /// An answer that is later than this beyond its wait counts as failed.
-const PATIENCE: Duration = Duration::from_millis(1500);
+///
+/// What discovery has to tell counts as told 2 s after a wait ends, whether it arrived or not: by then a lost
+/// answer must have been asked for again, the balancer's first pause of up to 0.75 s included.
+const PATIENCE: Duration = Duration::from_millis(1200);
 const LIST_LIMIT: usize = 4 << 20;
 
 /// Discovery's answer, as it stands in a configuration's `known` too.
@@ -109,11 +112,22 @@
     /// Waits for the balancer to ask, watches until that fails, and so on. The balancer decides when to ask
     /// again; that it asks while the watch is on changes nothing.
     pub async fn run(mut self, asked: Receiver<()>) {
+        let mut lost = false;
         while asked.recv().await.is_ok() {
             let mut connection = None;
-            while let Ok((kind, listed)) = self.ask(&mut connection).await {
+            let failure = loop {
+                let (kind, listed) = match self.ask(&mut connection).await {
+                    Ok(told) => told,
+                    Err(failure) => break failure,
+                };
+                if std::mem::take(&mut lost) {
+                    eprintln!("cottonpoint: discovery answers again");
+                }
                 self.sidecar.listed(kind, &listed);
                 self.servers.keep_only(|target| self.sidecar.takes_work(target));
+            };
+            if !std::mem::replace(&mut lost, true) {
+                eprintln!("cottonpoint: discovery failed, the old list holds: {failure}");
             }
             while asked.try_recv().is_ok() {}
             self.sidecar.list_failed();
@@ -138,11 +152,11 @@
         let exchange = async {
             c.stream.write_all(call.as_bytes()).await?;
             let answer = http::read_answer(&mut c.buffer, &mut c.stream, LIST_LIMIT).await;
-            answer.map_err(|_| io::ErrorKind::InvalidData.into())
+            answer.map_err(|fault| io::Error::other(format!("{fault:?}")))
         };
         let (_, status, body, keep) = within(hold + PATIENCE, exchange).await?;
         if status != 200 {
-            return Err(io::ErrorKind::Other.into());
+            return Err(io::Error::other(format!("status {status}")));
         }
         let answer: Answer = serde_json::from_slice(&body)?;
         let listed = answer.listed(&self.names).map_err(io::Error::other)?;
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,80 @@
+//! The configuration: each fault is one line that names its key.
+#![allow(missing_docs)]
+
+#[path = "sidecar/peers.rs"]
+#[allow(dead_code)]
+mod peers;
+
+use cottonpoint::config::Config;
+use insta::assert_snapshot;
+
+/// Guards against: a bad configuration that starts, or one whose message does not say where to look.
+#[test]
+fn a_fault_is_named_by_its_key() {
+    let discovery = "127.0.0.1:8500".parse().unwrap();
+    let good = peers::config(discovery, "null", 1024);
+    let mut said = String::new();
+    for (from, to) in [
+        ("{\"name\"", "\"name\""),
+        ("\"name\":\"n0\"", "\"name\":7"),
+        ("\"listen\":\"127.0.0.1:0\",", ""),
+        ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"localhost\""),
+        ("\"discovery\":\"127.0.0.1:8500\"", "\"discovery\":8500"),
+        ("\"seed\":\"2a\"", "\"seed\":\"z\""),
+        ("\"sockets\":1024", "\"sockets\":20"),
+        ("\"known\":null", "\"known\":{\"generation\":1}"),
+        ("\"settings\":", "\"setting\":"),
+        ("\"me\":0,", ""),
+        ("\"semantics\":\"read_like\"", "\"semantics\":\"odd\""),
+        ("\"semantics\":\"read_like\"", "\"semantics\":null"),
+        ("\"max_attempts\":3", "\"max_attempts\":-3"),
+        ("\"quota_per_s\":1000.0", "\"quota_per_s\":\"many\""),
+        ("\"connect_timeout_ns\":500000000", "\"connect_timeout_ns\":[]"),
+        ("\"cold_from\":0.3", "\"cold_from\":{}"),
+    ] {
+        assert!(good.contains(from), "{from}");
+        let fault = Config::parse(&good.replacen(from, to, 1), |_| None).expect_err(to).to_string();
+        assert_eq!(fault.lines().count(), 1);
+        said += &format!("{fault}\n");
+    }
+    assert_snapshot!(said, @r#"
+    configuration: (whole): trailing characters at line 1 column 7
+    configuration: name: must be a string
+    configuration: listen: is missing, and so is NODE_LISTEN
+    configuration: listen: must be an address and port: localhost
+    configuration: discovery: must be a string
+    configuration: seed: must be hexadecimal: z
+    configuration: limits.sockets: must be a whole number of at least 96: 20
+    configuration: known: missing field `instances`
+    configuration: settings: is missing
+    configuration: settings.me: is missing
+    configuration: settings.lanes.0.semantics: cannot be read: odd
+    configuration: settings.lanes.0.semantics: is missing
+    configuration: settings.limits.max_attempts: cannot be read: -3
+    configuration: settings.orgs.0.quota_per_s: cannot be read: many
+    configuration: settings.limits.connect_timeout_ns: cannot be read: 
+    configuration: settings.obligations.cold_from: is missing
+    "#);
+}
+
+/// Guards against: a default or a stand-in that is not the stated one.
+#[test]
+fn what_it_does_not_say_has_a_default() {
+    let discovery = "127.0.0.1:8500".parse().unwrap();
+    let known = peers::list(41, false, &[peers::line("t0", discovery, "active")]);
+    let text = peers::config(discovery, &known, 1024);
+    let text = text
+        .replace("\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",", "")
+        .replace("\"sockets\":1024", "\"cpus\":1");
+    let variable = |name: &str| (name == "NODE_LISTEN").then(|| "127.0.0.1:8081".to_owned());
+    assert_snapshot!(Config::parse(&text, variable).unwrap(), @r#"
+    name         cottonpoint
+    listen       127.0.0.1:8081
+    discovery    127.0.0.1:8500
+    balancer     0 of 1
+    classes      look, order
+    tenants      north
+    connections  585 clients, 390 targets
+    known        list 41
+    "#);
+}
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -271,3 +271,23 @@
     }
     sidecar.ends();
 }
+
+/// Guards against: slow senders that hold every connection and shut others out until their time is up.
+#[test]
+fn slow_senders_make_room_last_but_in_time() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let known = list(1, true, &[line("t0", target.address, "active")]);
+    let sidecar = Running::start(&config(discovery.address, &known, 96));
+    let _seen = target.echo();
+    let mut slow = Vec::new();
+    for _ in 0..40 {
+        let mut client = sidecar.client();
+        send(&mut client, "GET /look/7 HTTP/1.1\nX-");
+        slow.push(client);
+    }
+    let begun = std::time::Instant::now();
+    assert!(sidecar.ask(LOOK).starts_with("HTTP/1.1 "), "it is answered");
+    assert!(begun.elapsed().as_secs() < 5, "before a slow sender's time is up");
+    drop(slow);
+    sidecar.ends();
+}
