Tell every refused client when to come back; drop idle connections to silent targets

Seen: the module named a figure only once an answer was worthless (policy.rs `stay_away`), so a call refused at the wait limit went back without Retry-After. It now names a quarter (WAIT_SHARE) of the time left until its answer is worthless.

Seen by reading net/servers: a machine that is cut off keeps its connections open and silent, so each kept one costs a whole time-out, and a new one fails at once. Two time-outs in a row without a word now close a target's idle connections.

--- a/src/net/servers/mod.rs
+++ b/src/net/servers/mod.rs
@@ -5,7 +5,7 @@
 pub use send::{Outgoing, Served};
 
 use super::buffer::Buffer;
-use crate::interface::EndpointId;
+use crate::interface::{EndpointId, Outcome};
 use crate::settings::ReportFields;
 use crate::sidecar::{Executor, Target};
 use async_executor::Task;
@@ -18,6 +18,9 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+/// So many time-outs in a row make a target's idle connections suspect: one may be a slow request's.
+const SILENT: u32 = 2;
+
 /// What the pool goes by.
 #[derive(Clone, Debug)]
 pub struct Terms {
@@ -62,6 +65,8 @@
     terms: Terms,
     executor: Executor,
     idle: RefCell<HashMap<EndpointId, Vec<Idle>>>,
+    /// Forwards in a row that a target let time out without a word.
+    silent: RefCell<HashMap<EndpointId, u32>>,
     next: Cell<u64>,
     open: Rc<Cell<usize>>,
     this: Weak<Servers>,
@@ -74,6 +79,7 @@
             terms,
             executor,
             idle: RefCell::default(),
+            silent: RefCell::default(),
             next: Cell::new(0),
             open: Rc::default(),
             this: this.clone(),
@@ -83,6 +89,26 @@
     /// Closes the idle connections to targets that are not wanted any more.
     pub fn keep_only(&self, wanted: impl Fn(EndpointId) -> bool) {
         self.idle.borrow_mut().retain(|&id, _| wanted(id));
+        self.silent.borrow_mut().retain(|&id, _| wanted(id));
+    }
+
+    /// Takes note of whether a target spoke. A machine that is cut off leaves its connections open and
+    /// silent, and each would cost a whole time-out to find out; a new one fails at once.
+    fn heard(&self, target: EndpointId, outcome: Outcome) {
+        match outcome {
+            Outcome::Ok | Outcome::Error | Outcome::Full => {
+                self.silent.borrow_mut().remove(&target);
+            }
+            Outcome::TimedOut => {
+                let mut silent = self.silent.borrow_mut();
+                let times = silent.entry(target).or_default();
+                *times += 1;
+                if *times >= SILENT {
+                    self.idle.borrow_mut().remove(&target);
+                }
+            }
+            _ => {}
+        }
     }
 
     /// The most recently used idle connection to a target that is still open.
--- a/src/net/servers/send.rs
+++ b/src/net/servers/send.rs
@@ -66,7 +66,9 @@
             }
         };
         let exchange = self.exchange(forward, until, message, &progress);
-        future::or(exchange, future::or(halted, timeout)).await
+        let ended = future::or(exchange, future::or(halted, timeout)).await;
+        self.heard(forward.target.id, ended.0);
+        ended
     }
 
     async fn exchange(
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -780,9 +780,12 @@
         self.end(id, actions);
     }
 
-    /// Once an answer would be worthless, a client's next try only costs: ask it to stay away.
+    /// When a refused client should come back. In time, after a share of what is left, so that another try
+    /// can still wait and be served; once an answer would be worthless it only costs: stay away.
     fn stay_away(&self, worth_until: Time) -> Option<Duration> {
-        self.set.limits.max_retry_after.filter(|_| self.now >= worth_until)
+        let longest = self.set.limits.max_retry_after?;
+        let left = worth_until.since(self.now);
+        Some(if left.is_zero() { longest } else { left.mul_f64(WAIT_SHARE).min(longest) })
     }
 
     // ---- Discovery ---------------------------------------------------------------------------------------
--- a/tests/queueing.rs
+++ b/tests/queueing.rs
@@ -115,5 +115,10 @@
     assert_eq!(refused(&d.wake(ms(150))), []);
     let actions = d.wake(ms(150));
     assert_eq!(refused(&actions), [id], "a quarter of its aim has passed");
-    assert!(actions.contains(&Action::Refuse { id, retry_after: None }), "in time for another try");
+    // Guards against: a client refused in time that is not told when to come back, or told too late to be served.
+    let retry_after = Some(ms(175));
+    assert!(
+        actions.contains(&Action::Refuse { id, retry_after }),
+        "a quarter of the 700 ms left of its aim"
+    );
 }
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -291,3 +291,32 @@
     drop(slow);
     sidecar.ends();
 }
+
+/// Guards against: a machine that is cut off costing a whole time-out on each connection kept to it.
+#[test]
+fn connections_to_a_silent_target_are_not_kept() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let mut clients: Vec<_> = (0..3).map(|_| sidecar.client()).collect();
+    let mut came = Vec::new();
+    for client in &mut clients {
+        send(client, LOOK);
+        came.push(target.accept());
+    }
+    for (came, client) in came.iter_mut().zip(&mut clients) {
+        came.reply("200 OK", "", "ok");
+        assert!(message(client).starts_with("HTTP/1.1 200"));
+    }
+    // The most recently used ones are used first; two forwards time out, and the third connection goes.
+    for client in &mut clients[..2] {
+        send(client, LOOK);
+    }
+    let [first, second, third] = &mut came[..] else { unreachable!() };
+    assert!(third.next().starts_with("GET"));
+    assert!(second.next().starts_with("GET"));
+    assert_eq!(first.next(), "");
+    for client in &mut clients[..2] {
+        assert!(message(client).starts_with("HTTP/1.1 503"));
+    }
+    sidecar.ends();
+}
