Refuse a patience or aim of nothing in the settings; say faults in plain words

Seen by reading policy.rs `first_try`: with give_up_ns = 0 no try counts as usual and the votes go below zero, a panic in a debug build. The settings are checked now (src/settings.rs `span`), for both programs, and the message names the key. Faults of a peer's message are worded in one place (net/http.rs), so the log says "malformed version" and not a debug form.

--- a/src/net/clients/take_in.rs
+++ b/src/net/clients/take_in.rs
@@ -23,12 +23,13 @@
 
 /// The answer to what could not be read, if there is anybody to answer.
 pub fn unreadable(fault: &Fault) -> Option<Reply> {
-    match fault {
-        Fault::Broken => None,
-        Fault::Malformed(what) => Some(Reply::plain(400, what)),
-        Fault::HeadTooLong => Some(Reply::plain(431, "head is too long")),
-        Fault::BodyTooLong => Some(Reply::plain(413, "body is too long")),
-    }
+    let status = match fault {
+        Fault::Broken => return None,
+        Fault::Malformed(_) => 400,
+        Fault::HeadTooLong => 431,
+        Fault::BodyTooLong => 413,
+    };
+    Some(Reply::plain(status, &fault.to_string()))
 }
 
 /// Checks a request's first line and says how its body is framed.
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -2,6 +2,7 @@
 
 use super::buffer::Buffer;
 use futures_lite::AsyncRead;
+use std::fmt;
 use std::io;
 
 /// A head longer than this is not read on.
@@ -23,6 +24,17 @@
     BodyTooLong,
 }
 
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Broken => f.write_str("the connection broke"),
+            Fault::Malformed(what) => write!(f, "malformed {what}"),
+            Fault::HeadTooLong => f.write_str("head is too long"),
+            Fault::BodyTooLong => f.write_str("body is too long"),
+        }
+    }
+}
+
 impl From<io::Error> for Fault {
     fn from(_: io::Error) -> Fault {
         Fault::Broken
@@ -124,7 +136,7 @@
 }
 
 fn parse_head(bytes: &[u8]) -> Result<Head> {
-    let text = std::str::from_utf8(bytes).map_err(|_| Fault::Malformed("head is not UTF-8"))?;
+    let text = std::str::from_utf8(bytes).map_err(|_| Fault::Malformed("head"))?;
     let mut lines = text.split("\r\n");
     let mut parts = lines.next().unwrap_or_default().splitn(3, ' ');
     let mut part = || parts.next().unwrap_or_default().to_owned();
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -152,7 +152,7 @@
         let exchange = async {
             c.stream.write_all(call.as_bytes()).await?;
             let answer = http::read_answer(&mut c.buffer, &mut c.stream, LIST_LIMIT).await;
-            answer.map_err(|fault| io::Error::other(format!("{fault:?}")))
+            answer.map_err(|fault| io::Error::other(fault.to_string()))
         };
         let (_, status, body, keep) = within(hold + PATIENCE, exchange).await?;
         if status != 200 {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -138,6 +138,14 @@
         if self.0.contains_key(key) { self.nanos(key) } else { Ok(default) }
     }
 
+    /// A span of time that must not be nothing.
+    fn span(&self, key: &str) -> Result<Duration> {
+        match self.nanos(key)? {
+            Duration::ZERO => Self::bad(key, "must be above 0"),
+            span => Ok(span),
+        }
+    }
+
     fn word<T: Copy>(&self, key: &str, words: &[(&str, T)]) -> Result<T> {
         let text = self.find(key)?;
         match words.iter().find(|(word, _)| *word == text) {
@@ -159,9 +167,9 @@
             _ => Effect::Unsafe,
         };
         Ok(Class {
-            aim: self.nanos(&key("aim_ns"))?,
+            aim: self.span(&key("aim_ns"))?,
             aim_stretch: self.or(&key("aim_stretch"), 0.0)?,
-            give_up: self.nanos(&key("give_up_ns"))?,
+            give_up: self.span(&key("give_up_ns"))?,
             worth: self.get(&key("worth"))?,
             late_worth: self.or(&key("late_worth"), 0.0)?,
             effect,
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -27,6 +27,8 @@
         ("\"me\":0,", ""),
         ("\"semantics\":\"read_like\"", "\"semantics\":\"odd\""),
         ("\"semantics\":\"read_like\"", "\"semantics\":null"),
+        // A patience of nothing would set the balancer's votes below zero.
+        ("\"give_up_ns\":3000000000", "\"give_up_ns\":0"),
         ("\"max_attempts\":3", "\"max_attempts\":-3"),
         ("\"quota_per_s\":1000.0", "\"quota_per_s\":\"many\""),
         ("\"connect_timeout_ns\":500000000", "\"connect_timeout_ns\":[]"),
@@ -50,6 +52,7 @@
     configuration: settings.me: is missing
     configuration: settings.lanes.0.semantics: cannot be read: odd
     configuration: settings.lanes.0.semantics: is missing
+    configuration: settings.lanes.0.give_up_ns: must be above 0
     configuration: settings.limits.max_attempts: cannot be read: -3
     configuration: settings.orgs.0.quota_per_s: cannot be read: many
     configuration: settings.limits.connect_timeout_ns: cannot be read: 
