Read the configuration again on SIGHUP and move discovery at once

Cause: src/bin/cottonpoint.rs took only SIGTERM and SIGINT; nothing read the file a second time, and the watcher (src/net/list.rs) knew one address for life. Changed: SIGHUP parses the file; serve.rs applies discovery and the bounds on connections and names what waits for the next start; the watcher drops its call at the old place and asks the new one for the whole list. The old list holds until that answers. A bad file is one line naming its key. Ruled out: asking the new place with the old version (its numbering need not be the same). Test: a_new_configuration_moves_discovery_and_a_bad_one_changes_nothing.

--- a/src/bin/cottonpoint.rs
+++ b/src/bin/cottonpoint.rs
@@ -3,7 +3,8 @@
 use async_signal::{Signal, Signals};
 use bpaf::{Bpaf, Parser, long};
 use cottonpoint::config::Config;
-use cottonpoint::serve;
+use cottonpoint::serve::{self, Word};
+use futures_lite::StreamExt;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -12,7 +13,7 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
 enum Command {
-    /// Serve until told to stop by SIGTERM or SIGINT
+    /// Serve until told to stop by SIGTERM or SIGINT; read the configuration again on SIGHUP
     #[bpaf(command)]
     Serve {
         #[bpaf(external(file))]
@@ -40,13 +41,17 @@
 }
 
 fn serve(path: PathBuf) -> Result<(), String> {
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+    let signals = signals.map_err(|e| format!("cannot take signals: {e}"))?;
     let config = Config::load(&path).map_err(|e| e.to_string())?;
-    let stop =
-        Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("cannot take signals: {e}"))?;
     let listener =
         TcpListener::bind(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     eprintln!("cottonpoint: {} serves on {}", config.name, config.listen);
-    serve::run(config, listener, stop).map_err(|e| e.to_string())?;
+    let words = signals.map(move |signal| match signal {
+        Ok(Signal::Hup) => Word::Reload(Config::load(&path).map(Box::new)),
+        _ => Word::Stop,
+    });
+    serve::run(config, listener, words).map_err(|e| e.to_string())?;
     eprintln!("cottonpoint: stopped, all answered");
     Ok(())
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -123,6 +123,27 @@
     }
 }
 
+impl Config {
+    /// Takes over from a new configuration what a running sidecar can change, and says so in a line. The seed
+    /// and the list as last known matter at a start only.
+    pub fn change_to(&mut self, new: Config) -> String {
+        let fixed = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("settings", self.platform != new.platform),
+        ];
+        let fixed: Vec<_> = fixed.iter().filter(|(_, changed)| *changed).map(|(key, _)| *key).collect();
+        self.discovery = new.discovery;
+        self.client_connections = new.client_connections;
+        self.target_connections = new.target_connections;
+        let mut said = format!("new configuration, discovery at {}", self.discovery);
+        if !fixed.is_empty() {
+            said += &format!("; changes at the next start only: {}", fixed.join(", "));
+        }
+        said
+    }
+}
+
 impl fmt::Display for Config {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let balancer = &self.platform.balancer;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -63,7 +63,7 @@
     TimerToken(u64));
 
 /// Everything a balancer is told at its start. Nothing here changes during its life.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// This balancer's index among its siblings, from 0.
     pub me: u32,
--- a/src/net/clients/mod.rs
+++ b/src/net/clients/mod.rs
@@ -52,7 +52,7 @@
     executor: Executor,
     /// Connections served at most; idle ones make room from eight tenths on, and beyond nine tenths
     /// requests are turned away.
-    connections: usize,
+    connections: Cell<usize>,
     open: Cell<usize>,
     /// Connections between requests, the one idle for longest first, and how to close them.
     idle: Closable,
@@ -77,7 +77,7 @@
             servers,
             platform,
             executor,
-            connections,
+            connections: Cell::new(connections),
             open: Cell::new(0),
             idle: RefCell::default(),
             sending: RefCell::default(),
@@ -92,7 +92,7 @@
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
         let mut incoming = Box::pin(listener.incoming());
         loop {
-            while self.open.get() >= self.connections {
+            while self.open.get() >= self.connections.get() {
                 self.make_room(SENDING_AT_BOUND);
                 future::or(self.one_closed(), async {
                     Timer::after(ACCEPT_AGAIN).await;
@@ -101,7 +101,7 @@
             }
             match incoming.next().await {
                 Some(Ok(stream)) => {
-                    if self.open.get() * 10 >= self.connections * 8 {
+                    if self.open.get() * 10 >= self.connections.get() * 8 {
                         self.make_room(SENDING);
                     }
                     let open = Open::new(self.clone());
@@ -118,6 +118,11 @@
         }
     }
 
+    /// From now on so many connections are served at most.
+    pub fn set_bound(&self, connections: usize) {
+        self.connections.set(connections);
+    }
+
     /// From now on it is not ready, and asks each connection to close after its next answer.
     pub fn leave(&self) {
         self.leaving.set(true);
@@ -248,7 +253,7 @@
             Ok(taken) => taken,
             Err(reply) => return Some(reply),
         };
-        if self.open.get() * 10 > self.connections * 9 {
+        if self.open.get() * 10 > self.connections.get() * 9 {
             return Some(Reply::fixed(FixedResponse::Refused {
                 retry_after: self.platform.max_retry_after,
             }));
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -7,7 +7,7 @@
 use crate::sidecar::{Clock, Lifecycle, Listed, Sidecar, target_id};
 use async_channel::Receiver;
 use async_io::Async;
-use futures_lite::AsyncWriteExt;
+use futures_lite::{AsyncWriteExt, future};
 use serde::Deserialize;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -89,6 +89,14 @@
     }
 }
 
+/// The next place of discovery; never, once there is nobody to name one.
+async fn next(moved: &Receiver<SocketAddr>) -> SocketAddr {
+    match moved.recv().await {
+        Ok(address) => address,
+        Err(_) => future::pending().await,
+    }
+}
+
 /// Follows discovery for a sidecar.
 pub struct Watcher {
     /// Whom to tell.
@@ -101,6 +109,15 @@
     pub names: Names,
     /// The version last told; `None` before any.
     pub generation: Option<u64>,
+    /// Where discovery listens from now on, whenever that changes.
+    pub moved: Receiver<SocketAddr>,
+}
+
+/// What a call came to.
+enum Asked {
+    Told(ListKind, Vec<Listed>),
+    Failed(io::Error),
+    Moved(SocketAddr),
 }
 
 struct Connection {
@@ -110,15 +127,35 @@
 
 impl Watcher {
     /// Waits for the balancer to ask, watches until that fails, and so on. The balancer decides when to ask
-    /// again; that it asks while the watch is on changes nothing.
+    /// again; that it asks while the watch is on changes nothing. Where discovery moves to is asked at once:
+    /// the old place closes its connections, and what the new one has to tell counts as told soon.
     pub async fn run(mut self, asked: Receiver<()>) {
         let mut lost = false;
-        while asked.recv().await.is_ok() {
+        loop {
+            let moved = self.moved.clone();
+            let wait = async { asked.recv().await.ok().map(|()| None) };
+            match future::or(async { Some(Some(next(&moved).await)) }, wait).await {
+                Some(Some(address)) => self.move_to(address),
+                Some(None) => {}
+                None => return,
+            }
             let mut connection = None;
             let failure = loop {
-                let (kind, listed) = match self.ask(&mut connection).await {
-                    Ok(told) => told,
-                    Err(failure) => break failure,
+                let call = async {
+                    match self.ask(&mut connection).await {
+                        Ok((kind, listed)) => Asked::Told(kind, listed),
+                        Err(failure) => Asked::Failed(failure),
+                    }
+                };
+                let call = future::or(async { Asked::Moved(next(&moved).await) }, call).await;
+                let (kind, listed) = match call {
+                    Asked::Told(kind, listed) => (kind, listed),
+                    Asked::Failed(failure) => break failure,
+                    Asked::Moved(address) => {
+                        connection = None;
+                        self.move_to(address);
+                        continue;
+                    }
                 };
                 if std::mem::take(&mut lost) {
                     eprintln!("cottonpoint: discovery answers again");
@@ -134,6 +171,12 @@
         }
     }
 
+    /// Discovery is elsewhere from now on. Its versions there may be others: the whole list is asked for.
+    fn move_to(&mut self, address: SocketAddr) {
+        self.discovery = address;
+        self.generation = None;
+    }
+
     /// One call: for the whole list at first, then for what is newer.
     async fn ask(&mut self, connection: &mut Option<Connection>) -> io::Result<(ListKind, Vec<Listed>)> {
         let (query, hold) = match self.generation {
--- a/src/net/servers/mod.rs
+++ b/src/net/servers/mod.rs
@@ -68,6 +68,7 @@
     /// Forwards in a row that a target let time out without a word.
     silent: RefCell<HashMap<EndpointId, u32>>,
     next: Cell<u64>,
+    connections: Cell<usize>,
     open: Rc<Cell<usize>>,
     this: Weak<Servers>,
 }
@@ -76,6 +77,7 @@
     /// A pool without connections.
     pub fn new(terms: Terms, executor: Executor) -> Rc<Servers> {
         Rc::new_cyclic(|this| Servers {
+            connections: Cell::new(terms.connections),
             terms,
             executor,
             idle: RefCell::default(),
@@ -86,6 +88,11 @@
         })
     }
 
+    /// From now on so many connections are held at most.
+    pub fn set_bound(&self, connections: usize) {
+        self.connections.set(connections);
+    }
+
     /// Closes the idle connections to targets that are not wanted any more.
     pub fn keep_only(&self, wanted: impl Fn(EndpointId) -> bool) {
         self.idle.borrow_mut().retain(|&id, _| wanted(id));
@@ -123,7 +130,7 @@
     }
 
     async fn connect(&self, target: Target) -> io::Result<Connection> {
-        while self.open.get() >= self.terms.connections {
+        while self.open.get() >= self.connections.get() {
             if !self.close_oldest() {
                 return Err(io::Error::other("no connection to spare"));
             }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,6 @@
 //! The sidecar as a program: its parts put together, from the first connection to the last.
 
-use crate::config::Config;
+use crate::config::{BadConfig, Config};
 use crate::interface::ListKind;
 use crate::net::clients::Clients;
 use crate::net::list::{Names, Watcher};
@@ -20,19 +20,32 @@
 /// By then, connections between requests are closed: what crosses that is sent again, while we still accept.
 const CLOSE_IDLE: Duration = Duration::from_millis(450);
 
-/// Serves until `stop` yields, then answers what was taken and returns.
-pub fn run(config: Config, listener: TcpListener, stop: impl Stream + Unpin) -> io::Result<()> {
+/// What a running sidecar is told from outside.
+#[derive(Debug)]
+pub enum Word {
+    /// Answer what is taken, then end.
+    Stop,
+    /// Go by another configuration from now on; a bad one changes nothing.
+    Reload(Result<Box<Config>, BadConfig>),
+}
+
+/// Serves until the word to stop (or the end of all words), then answers what was taken and returns.
+pub fn run(
+    config: Config,
+    listener: TcpListener,
+    words: impl Stream<Item = Word> + Unpin + 'static,
+) -> io::Result<()> {
     let executor: Executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(config, listener, stop, executor.clone())))
+    async_io::block_on(executor.run(serve(config, listener, words, executor.clone())))
 }
 
 async fn serve(
     config: Config,
     listener: TcpListener,
-    mut stop: impl Stream + Unpin,
+    mut words: impl Stream<Item = Word> + Unpin + 'static,
     executor: Executor,
 ) -> io::Result<()> {
-    let platform = config.platform;
+    let platform = config.platform.clone();
     let names = Names { zones: platform.zones.clone(), kinds: platform.kinds.clone() };
     let (sidecar, asked) =
         Sidecar::new(platform.balancer.clone(), config.seed, Clock::start(), executor.clone());
@@ -49,18 +62,43 @@
     let known = config.known.as_ref().and_then(|k| k.listed(&names).ok());
     let (kind, listed) = known.unwrap_or((ListKind::Full, Vec::new()));
     sidecar.listed(kind, &listed);
-    let generation = config.known.map(|k| k.generation);
+    let generation = config.known.as_ref().map(|k| k.generation);
+    let (moves, moved) = async_channel::unbounded();
     let watcher = Watcher {
         sidecar: sidecar.clone(),
         servers: servers.clone(),
         discovery: config.discovery,
         names,
         generation,
+        moved,
     };
     executor.spawn(watcher.run(asked)).detach();
-    let clients = Clients::new(sidecar, servers, platform, executor.clone(), config.client_connections);
+    let clients =
+        Clients::new(sidecar, servers.clone(), platform, executor.clone(), config.client_connections);
     let accept = executor.spawn(clients.clone().accept(Async::new(listener)?));
-    stop.next().await;
+
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    let (mut current, bounded) = (config, clients.clone());
+    let heed = executor.spawn(async move {
+        while let Some(word) = words.next().await {
+            match word {
+                // Configurations are still heeded while what was taken is being answered.
+                Word::Stop => drop(stop.try_send(())),
+                Word::Reload(Ok(config)) => {
+                    if config.discovery != current.discovery {
+                        let _ = moves.try_send(config.discovery);
+                    }
+                    bounded.set_bound(config.client_connections);
+                    servers.set_bound(config.target_connections);
+                    eprintln!("cottonpoint: {}", current.change_to(*config));
+                }
+                Word::Reload(Err(e)) => eprintln!("cottonpoint: the old configuration holds: {e}"),
+            }
+        }
+        drop(stop);
+        future::pending::<()>().await; // The watcher may be told of a move for as long as it lives.
+    });
+    let _ = stopped.recv().await;
 
     clients.leave();
     Timer::after(CLOSE_IDLE).await;
@@ -76,6 +114,6 @@
         })
         .await;
     }
-    drop(accept);
+    drop((accept, heed));
     Ok(())
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -42,7 +42,7 @@
 }
 
 /// All that is read from the settings.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Platform {
     /// The balancer's own settings.
     pub balancer: Settings,
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -340,3 +340,31 @@
     }
     sidecar.ends();
 }
+
+/// Guards against: a new configuration that ends the program, is not heeded at once, or drops the list held;
+/// and a bad one heeded.
+#[test]
+fn a_new_configuration_moves_discovery_and_a_bad_one_changes_nothing() {
+    let (old, new) = (Peer::new(), Peer::new());
+    let (first, second) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[first.address], &old);
+    let mut watch = old.accept();
+    let good = config(new.address, "null", 1024);
+    sidecar.reload(&good.replace("\"read_like\"", "\"odd\""));
+    sidecar.reload(&good);
+    // The watch at the old place ends, and the new one is asked for the whole list.
+    assert_eq!(watch.next(), "");
+    let mut call = new.accept();
+    assert_eq!(call.text.lines().next(), Some("GET /registry/instances HTTP/1.1"));
+    // Until it answers, the old list holds.
+    let mut client = sidecar.client();
+    send(&mut client, LOOK);
+    first.accept().reply("200 OK", "", "old");
+    assert!(message(&mut client).ends_with("old"));
+    call.reply("200 OK", "", &list(1, true, &[line("t1", second.address, "active")]));
+    call.next();
+    send(&mut client, LOOK);
+    second.accept().reply("200 OK", "", "new");
+    assert!(message(&mut client).ends_with("new"));
+    sidecar.ends();
+}
--- a/tests/sidecar/peers.rs
+++ b/tests/sidecar/peers.rs
@@ -1,6 +1,7 @@
 //! Scripted peers on loopback: a sidecar in a thread of its own, clients, targets and discovery.
 
-use cottonpoint::{config::Config, serve};
+use cottonpoint::config::Config;
+use cottonpoint::serve::{self, Word};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -139,7 +140,7 @@
 /// A sidecar that serves.
 pub struct Running {
     pub address: SocketAddr,
-    stop: async_channel::Sender<()>,
+    words: async_channel::Sender<Word>,
     thread: JoinHandle<()>,
 }
 
@@ -147,9 +148,9 @@
     pub fn start(config: &str) -> Running {
         let config = Config::parse(config, |_| None).expect("a good configuration");
         let (listener, address) = listen();
-        let (stop, stopping) = async_channel::bounded(1);
-        let serve = move || serve::run(config, listener, Box::pin(stopping)).expect("it serves");
-        Running { address, stop, thread: thread::spawn(serve) }
+        let (words, heard) = async_channel::unbounded();
+        let serve = move || serve::run(config, listener, Box::pin(heard)).expect("it serves");
+        Running { address, words, thread: thread::spawn(serve) }
     }
 
     /// One that knows these targets and whose discovery is scripted by the story.
@@ -171,7 +172,13 @@
     }
 
     pub fn stop(&self) {
-        let _ = self.stop.try_send(());
+        let _ = self.words.try_send(Word::Stop);
+    }
+
+    /// Gives it another configuration, as a file might hold it.
+    pub fn reload(&self, config: &str) {
+        let config = Config::parse(config, |_| None).map(Box::new);
+        let _ = self.words.try_send(Word::Reload(config));
     }
 
     pub fn ends(self) {
