Read clients and targets strictly, bound every wait, make room by stage

At fault: net/http.rs read_head and read_chunks (no bound on empty lines and trailers), take_in.rs (time left), send.rs (Reset for all faults, kept connections to targets that had left), clients/mod.rs (silent connections up to 120 s). Tests: the stories on bad input, ids, huge bodies, the silent and slow, endless senders, spoilt answers, more than an answer, a target that has left.

--- a/src/config.rs
+++ b/src/config.rs
@@ -9,7 +9,7 @@
 
 /// Descriptors that are never given to connections: standard streams, the listener, discovery, signals and
 /// the event loop, and room to turn clients away.
-const RESERVE: usize = 48;
+const RESERVE: usize = 24;
 const SOCKETS: u64 = 1024;
 /// With fewer descriptors than this the program does not start.
 const SOCKETS_MIN: u64 = 96;
@@ -108,15 +108,16 @@
                 Some(known)
             }
         };
-        // A flow holds a connection on either side; clients keep some more.
+        // A flow holds a connection on either side; clients keep some more, and as many again come with no
+        // flow at all.
         let spare = usize::try_from(sockets).unwrap_or(usize::MAX).min(1 << 16) - RESERVE;
         Ok(Config {
             name,
             listen: address("listen", "NODE_LISTEN")?,
             discovery: address("discovery", "NODE_DISCOVERY")?,
             seed,
-            client_connections: spare * 3 / 5,
-            target_connections: spare * 2 / 5,
+            client_connections: spare * 5 / 8,
+            target_connections: spare * 3 / 8,
             known,
             platform,
         })
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -1,9 +1,12 @@
 //! A connection's one buffer: it grows as a message needs and is compacted in place.
 
-use futures_lite::{AsyncRead, AsyncReadExt};
+use futures_lite::{AsyncRead, AsyncReadExt, future};
 use std::io;
 
 const CHUNK: usize = 4096;
+/// After so many reads others get a turn: a read of what is there already does not wait, and a peer that
+/// sends without end would keep the thread to itself.
+const TURN: u8 = 4;
 
 /// Bytes that have arrived and were not consumed yet.
 #[derive(Default)]
@@ -11,6 +14,7 @@
     bytes: Vec<u8>,
     start: usize,
     end: usize,
+    reads: u8,
 }
 
 impl Buffer {
@@ -46,6 +50,11 @@
                 self.bytes.resize(self.end + room, 0);
             }
         }
+        self.reads += 1;
+        if self.reads >= TURN {
+            self.reads = 0;
+            future::yield_now().await;
+        }
         let n = stream.read(&mut self.bytes[self.end..]).await?;
         self.end += n;
         Ok(n)
--- a/src/net/clients/mod.rs
+++ b/src/net/clients/mod.rs
@@ -16,16 +16,20 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, StreamExt, future};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
+use std::future::Future;
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// A message that has begun must be whole within this time; a slow peer is given up.
-const SLOW_PEER: Duration = Duration::from_secs(10);
+/// A connection's first request must be whole within this time, and any later one within the same time from
+/// its first byte: nobody holds a place longer without an answer or a close.
+const REQUEST_WITHIN: Duration = Duration::from_millis(2400);
 /// An answer that the client does not take for so long is given up.
 const SLOW_READER: Duration = Duration::from_secs(5);
+/// After its last answer a connection is read on for this long, so that the answer is not reset away.
+const LINGER: Duration = Duration::from_millis(700);
 /// A connection without a request is closed after this time.
 const IDLE: Duration = Duration::from_secs(120);
 /// The answer needs this long to travel: it sets out so much before the client gives up.
@@ -35,14 +39,37 @@
 /// Pause before accepting is tried again.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
-/// How long a new connection may wait with its first request, and how long a request that has begun is left
-/// alone, when connections run short; the latter for less when there are none left.
-const FRESH: Duration = Duration::from_secs(1);
-const SENDING: Duration = Duration::from_secs(1);
-const SENDING_AT_BOUND: Duration = Duration::from_millis(200);
+/// What a connection without an open flow is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// It is new, and nothing has come on it.
+    Fresh,
+    /// A request has begun and is not whole.
+    Sending,
+    /// It is kept between requests.
+    Kept,
+    /// It has had its last answer.
+    Ending,
+}
+
+/// Which connections make room, first to last, and how long they must have been at that stage: from seven
+/// tenths of the bound on, and at the bound.
+const EARLY: [(Stage, Duration); 2] =
+    [(Stage::Kept, Duration::from_secs(2)), (Stage::Fresh, Duration::from_secs(1))];
+const AT_BOUND: [(Stage, Duration); 5] = [
+    (Stage::Kept, Duration::from_secs(2)),
+    (Stage::Ending, Duration::from_millis(100)),
+    (Stage::Fresh, Duration::from_millis(300)),
+    (Stage::Sending, Duration::from_millis(500)),
+    (Stage::Kept, Duration::ZERO),
+];
 
-/// Connections that may be closed, in the order of their entry: since when, and how.
-type Closable = RefCell<BTreeMap<u64, (Instant, Sender<()>)>>;
+/// A connection that may be closed: what it is doing, since when, and how to close it.
+struct Closable {
+    stage: Stage,
+    since: Instant,
+    close: Sender<()>,
+}
 
 /// All that client connections share.
 pub struct Clients {
@@ -50,14 +77,13 @@
     servers: Rc<Servers>,
     platform: Platform,
     executor: Executor,
-    /// Connections served at most; idle ones make room from eight tenths on, and beyond nine tenths
-    /// requests are turned away.
+    /// Connections served at most.
     connections: Cell<usize>,
     open: Cell<usize>,
-    /// Connections between requests, the one idle for longest first, and how to close them.
-    idle: Closable,
-    /// Connections whose request has begun and is not whole, the longest first.
-    sending: Closable,
+    /// Connections without an open flow, in the order in which they came to their stages.
+    closable: RefCell<BTreeMap<u64, Closable>>,
+    /// The ids of the open flows.
+    ids: RefCell<HashSet<String>>,
     next: Cell<u64>,
     leaving: Cell<bool>,
     closed: (Sender<()>, Receiver<()>),
@@ -79,21 +105,20 @@
             executor,
             connections: Cell::new(connections),
             open: Cell::new(0),
-            idle: RefCell::default(),
-            sending: RefCell::default(),
+            closable: RefCell::default(),
+            ids: RefCell::default(),
             next: Cell::new(0),
             leaving: Cell::new(false),
             closed: async_channel::bounded(1),
         })
     }
 
-    /// Accepts connections for good. At the bound, the connection idle for longest makes room, then the one
-    /// that has been sending a request for longest: what is not whole has not been taken.
+    /// Accepts connections for good. Connections without an open flow make room; one with a flow never does.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
         let mut incoming = Box::pin(listener.incoming());
         loop {
             while self.open.get() >= self.connections.get() {
-                self.make_room(SENDING_AT_BOUND);
+                self.make_room(&AT_BOUND);
                 future::or(self.one_closed(), async {
                     Timer::after(ACCEPT_AGAIN).await;
                 })
@@ -101,14 +126,15 @@
             }
             match incoming.next().await {
                 Some(Ok(stream)) => {
-                    if self.open.get() * 10 >= self.connections.get() * 8 {
-                        self.make_room(SENDING);
+                    if self.open.get() * 10 >= self.connections.get() * 7 {
+                        self.make_room(&EARLY);
                     }
                     let open = Open::new(self.clone());
                     self.executor.spawn(async move { open.0.clone().connection(stream).await }).detach();
+                    future::yield_now().await;
                 }
                 Some(Err(e)) if out_of_descriptors(&e) => {
-                    self.make_room(SENDING);
+                    self.make_room(&AT_BOUND);
                     self.servers.close_oldest();
                     Timer::after(ACCEPT_AGAIN).await;
                 }
@@ -130,15 +156,33 @@
 
     /// Closes all connections that are between requests.
     pub fn close_idle(&self) {
-        while close_first(&self.idle, Duration::ZERO) {}
+        while self.make_room(&[(Stage::Kept, Duration::ZERO), (Stage::Fresh, Duration::ZERO)]) {}
     }
 
-    /// Asks one connection to close: the one idle for longest, or else the one that has been sending a
-    /// request for longest, if for so long at least.
-    fn make_room(&self, sending: Duration) {
-        if !close_first(&self.idle, Duration::ZERO) {
-            close_first(&self.sending, sending);
-        }
+    /// Asks one connection to close, the first that the order names; false where there is none.
+    fn make_room(&self, order: &[(Stage, Duration)]) -> bool {
+        let (now, mut list) = (Instant::now(), self.closable.borrow_mut());
+        let longest = |&(stage, age): &(Stage, Duration)| {
+            let ready = |c: &Closable| c.stage == stage && c.since + age <= now;
+            list.iter().find(|(_, c)| ready(c)).map(|(&number, _)| number)
+        };
+        let number = order.iter().find_map(longest);
+        number.and_then(|number| list.remove(&number)).is_some_and(|c| c.close.try_send(()).is_ok())
+    }
+
+    /// Does some work on a connection that may be closed meanwhile; `None` if it is to close.
+    async fn at_stage<T>(&self, stage: Stage, work: impl Future<Output = T>) -> Option<T> {
+        let (close, closing) = async_channel::bounded(1);
+        let number = self.next.replace(self.next.get() + 1);
+        let closable = Closable { stage, since: Instant::now(), close };
+        self.closable.borrow_mut().insert(number, closable);
+        let closed = async {
+            let _ = closing.recv().await;
+            None
+        };
+        let done = future::or(async { Some(work.await) }, closed).await;
+        self.closable.borrow_mut().remove(&number);
+        done
     }
 
     /// Connections that are open.
@@ -154,70 +198,55 @@
     async fn connection(self: Rc<Self>, stream: Async<TcpStream>) {
         let _ = stream.get_ref().set_nodelay(true);
         let mut buffer = Buffer::default();
-        let mut kept = false;
-        while self.await_request(&stream, &mut buffer, kept).await {
-            kept = true;
-            let (close, closing) = async_channel::bounded(1);
-            let number = self.number();
-            self.sending.borrow_mut().insert(number, (Instant::now(), close));
-            let read = async { Ok(self.read(&stream, &mut buffer).await) };
-            let evicted = async {
-                let _ = closing.recv().await;
-                Err(io::ErrorKind::TimedOut.into())
+        let mut first_until = Some(Instant::now() + REQUEST_WITHIN);
+        while self.await_request(&stream, &mut buffer, first_until).await {
+            let until = first_until.take().unwrap_or_else(|| Instant::now() + REQUEST_WITHIN);
+            let read = async {
+                let read = async { Ok(self.read(&stream, &mut buffer).await) };
+                super::by(until, read).await.unwrap_or(Err(Fault::Stalled))
             };
-            let request = within(SLOW_PEER, future::or(read, evicted)).await;
-            self.sending.borrow_mut().remove(&number);
-            let (reply, keep) = match request {
-                Ok(Ok(Some((head, body)))) => {
+            let read = self.at_stage(Stage::Sending, read).await;
+            let (reply, keep) = match read.unwrap_or(Err(Fault::Stalled)) {
+                Ok(Some((head, body))) => {
                     let keep = head.keeps_alive(&head.line[2]);
                     (self.answer(&stream, &mut buffer, head, body).await, keep)
                 }
-                Ok(Ok(None)) => return,
-                Ok(Err(fault)) => (take_in::unreadable(&fault), false),
-                Err(_) => (Some(Reply::plain(408, "too slow")), false),
+                Ok(None) => return,
+                Err(fault) => (take_in::unreadable(&fault), false),
             };
             let Some(reply) = reply else { return };
-            let keep = keep && !self.leaving.get();
+            // Who sends what cannot be served starts anew; and nobody gets ahead by asking without a pause.
+            let keep = keep && !reply.is_client_error() && !self.leaving.get();
             let bytes = reply.bytes(keep);
             let sent = within(SLOW_READER, (&stream).write_all(&bytes)).await;
             if sent.is_err() {
                 return;
             }
             if !keep {
-                return linger(&stream, &mut buffer).await;
+                self.at_stage(Stage::Ending, linger(&stream, &mut buffer)).await;
+                return;
             }
+            future::yield_now().await;
         }
     }
 
-    fn number(&self) -> u64 {
-        self.next.replace(self.next.get() + 1)
-    }
-
     /// Waits for the first byte of a request; false when the connection is to end without one.
-    async fn await_request(&self, stream: &Async<TcpStream>, buffer: &mut Buffer, kept: bool) -> bool {
+    async fn await_request(
+        &self,
+        stream: &Async<TcpStream>,
+        buffer: &mut Buffer,
+        first_until: Option<Instant>,
+    ) -> bool {
         if !buffer.is_empty() {
             return true;
         }
-        let (close, closing) = async_channel::bounded(1);
-        let number = self.number();
-        let since = Instant::now() + if kept { Duration::ZERO } else { FRESH };
-        self.idle.borrow_mut().insert(number, (since, close));
+        let stage = if first_until.is_some() { Stage::Fresh } else { Stage::Kept };
+        let until = first_until.unwrap_or_else(|| Instant::now() + IDLE);
         let mut reader = stream;
-        let arrived = async { matches!(buffer.fill(&mut reader).await, Ok(n) if n > 0) };
-        let ended = async {
-            let closed = async {
-                let _ = closing.recv().await;
-            };
-            let aged = async {
-                Timer::after(IDLE).await;
-            };
-            future::or(closed, aged).await;
-            false
-        };
-        let arrived = future::or(arrived, ended).await;
-        self.idle.borrow_mut().remove(&number);
+        let arrived = super::by(until, buffer.fill(&mut reader));
+        let arrived = self.at_stage(stage, arrived).await;
         // What came while the word to close was on its way has been taken and is served.
-        arrived || matches!(stream.get_ref().peek(&mut [0]), Ok(n) if n > 0)
+        matches!(arrived, Some(Ok(n)) if n > 0) || matches!(stream.get_ref().peek(&mut [0]), Ok(n) if n > 0)
     }
 
     async fn read(
@@ -226,7 +255,9 @@
         buffer: &mut Buffer,
     ) -> Result<Option<(Head, Vec<u8>)>, Fault> {
         let mut reader = stream;
-        let Some(head) = http::read_head(buffer, &mut reader).await? else { return Ok(None) };
+        let Some(head) = http::read_head(buffer, &mut reader, http::begins_request).await? else {
+            return Ok(None);
+        };
         let framing = take_in::body_framing(&head)?;
         if head.has("expect", "100-continue") && buffer.is_empty() {
             (&mut reader).write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
@@ -253,18 +284,23 @@
             Ok(taken) => taken,
             Err(reply) => return Some(reply),
         };
-        if self.open.get() * 10 > self.connections.get() * 9 {
-            return Some(Reply::fixed(FixedResponse::Refused {
-                retry_after: self.platform.max_retry_after,
-            }));
+        // A flow needs a connection to a target: where none may be left, trying again does no harm.
+        if self.ids.borrow().len() >= self.servers.bound() {
+            let retry_after = self.platform.max_retry_after;
+            return Some(Reply::fixed(FixedResponse::Refused { retry_after }));
+        }
+        if !self.ids.borrow_mut().insert(taken.id.clone()) {
+            return Some(Reply::plain(409, "the id is that of an open request"));
         }
-        self.follow(taken, stream, buffer).await
+        let reply = self.follow(&taken, stream, buffer).await;
+        self.ids.borrow_mut().remove(&taken.id);
+        reply
     }
 
     /// Takes a flow through its stages.
     async fn follow(
         &self,
-        taken: TakenIn,
+        taken: &TakenIn,
         stream: &Async<TcpStream>,
         buffer: &mut Buffer,
     ) -> Option<Reply> {
@@ -325,30 +361,19 @@
     }
 }
 
-/// Closes the first connection of a list that may be closed since `age` ago; false where there is none.
-fn close_first(list: &Closable, age: Duration) -> bool {
-    let (now, mut list) = (Instant::now(), list.borrow_mut());
-    let first = list.iter().find(|(_, (since, _))| *since + age <= now).map(|(&number, _)| number);
-    let first = first.and_then(|number| list.remove(&number));
-    first.is_some_and(|(_, close)| close.try_send(()).is_ok())
-}
-
 /// Lets the client read the last answer before the connection goes: closing with bytes unread would reset it.
 async fn linger(stream: &Async<TcpStream>, buffer: &mut Buffer) {
     let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
     let mut reader = stream;
     let drain = async {
-        let mut left = 2 * http::BODY_LIMIT;
         loop {
-            let n = buffer.fill(&mut reader).await?;
-            buffer.consume(n + buffer.filled().len());
-            if n == 0 || n > left {
+            buffer.consume(buffer.filled().len());
+            if buffer.fill(&mut reader).await? == 0 {
                 return Ok(());
             }
-            left -= n;
         }
     };
-    let _ = within(Duration::from_millis(500), drain).await;
+    let _ = within(LINGER, drain).await;
 }
 
 fn out_of_descriptors(e: &io::Error) -> bool {
--- a/src/net/clients/relay.rs
+++ b/src/net/clients/relay.rs
@@ -43,6 +43,11 @@
         self
     }
 
+    /// Whether it says that the request was bad.
+    pub fn is_client_error(&self) -> bool {
+        (400..500).contains(&self.status)
+    }
+
     /// As it goes out.
     pub fn bytes(&self, keep: bool) -> Vec<u8> {
         let reason = match self.status {
@@ -51,6 +56,7 @@
             404 => "Not Found",
             405 => "Method Not Allowed",
             408 => "Request Timeout",
+            409 => "Conflict",
             413 => "Content Too Large",
             431 => "Request Header Fields Too Large",
             502 => "Bad Gateway",
--- a/src/net/clients/take_in.rs
+++ b/src/net/clients/take_in.rs
@@ -15,6 +15,8 @@
     pub class: ClassId,
     /// Its tenant.
     pub tenant: Option<TenantId>,
+    /// Its id; no other open flow may have the same.
+    pub id: String,
     /// How long its client waits.
     pub left: Duration,
     /// What goes to targets.
@@ -28,27 +30,39 @@
         Fault::Malformed(_) => 400,
         Fault::HeadTooLong => 431,
         Fault::BodyTooLong => 413,
+        Fault::Stalled => 408,
     };
     Some(Reply::plain(status, &fault.to_string()))
 }
 
 /// Checks a request's first line and says how its body is framed.
 pub fn body_framing(head: &Head) -> Result<Framing, Fault> {
-    if !matches!(head.line[2].as_str(), "HTTP/1.1" | "HTTP/1.0") {
+    let version = head.line[2].as_str();
+    if !matches!(version, "HTTP/1.1" | "HTTP/1.0") {
         return Err(Fault::Malformed("version"));
     }
     let target = head.line[1].as_str();
-    if !target.starts_with('/') || target.bytes().any(|b| b <= b' ' || b == 0x7f) {
+    if !target.starts_with('/') || !target.bytes().all(|b| b.is_ascii_graphic() && b != b'#') {
         return Err(Fault::Malformed("path"));
     }
-    http::framing(head, Framing::Length(0))
+    if head.only("host")?.is_none() && version == "HTTP/1.1" {
+        return Err(Fault::Malformed("head, without a host"));
+    }
+    http::framing(head, version, Framing::Length(0))
 }
 
+/// The headers that say what a flow is: each may be given once.
+const ONCE: [&str; 5] =
+    ["x-service-class", "x-account", "x-correlation-id", "x-time-left-ms", "idempotency-key"];
+
 /// Makes a request a flow by what its headers say, or answers it: with 404 for an unknown class or path,
 /// with 400 for a bad header value.
 pub fn take_in(platform: &Platform, head: &Head, body: Vec<u8>) -> Result<TakenIn, Reply> {
     let bad = |what: &str| Err(Reply::plain(400, what));
-    let path = head.line[1].split(['?', '#']).next().unwrap_or_default();
+    if let Some(name) = ONCE.iter().find(|name| head.only(name).is_err()) {
+        return bad(&format!("{name} is given twice"));
+    }
+    let path = head.line[1].split('?').next().unwrap_or_default();
     let first = path.split('/').nth(1).unwrap_or_default();
     let named = |name: &str| platform.classes.iter().position(|c| c == name);
     let Some(class) = named(first) else { return Err(Reply::plain(404, "unknown path")) };
@@ -66,9 +80,9 @@
         }
         _ => None,
     };
-    if head.get("x-correlation-id").is_none_or(str::is_empty) {
+    let Some(id) = head.get("x-correlation-id").filter(|id| !id.is_empty()) else {
         return bad("no correlation id");
-    }
+    };
     let rules = &platform.balancer.classes[class];
     let (method, keyed) = match rules.effect {
         Effect::Safe => ("GET", false),
@@ -81,10 +95,16 @@
     if keyed && head.get("idempotency-key").is_none_or(str::is_empty) {
         return bad("no idempotency key");
     }
-    let left = head.get("x-time-left-ms").and_then(|v| v.parse().ok()).map(Duration::from_millis);
-    let left = left.filter(|l| *l <= rules.give_up).unwrap_or(rules.give_up);
+    let left = match head.get("x-time-left-ms") {
+        // Digits only: no sign, no fraction, and no more than a number holds.
+        Some(text) => match text.parse().ok().filter(|_| text.bytes().all(|b| b.is_ascii_digit())) {
+            Some(ms) => Duration::from_millis(ms).min(rules.give_up),
+            None => return bad("the time left is no number of milliseconds"),
+        },
+        None => rules.give_up,
+    };
     let outgoing = Outgoing { head: passed_on(head, body.len()), body };
-    Ok(TakenIn { class: ClassId(class as u16), tenant, left, outgoing })
+    Ok(TakenIn { class: ClassId(class as u16), tenant, id: id.to_owned(), left, outgoing })
 }
 
 /// Headers that concern one connection only, or are stated anew.
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,15 +1,20 @@
 //! The little of HTTP/1.1 that all peers share: heads, framing, bodies.
 
-use super::buffer::Buffer;
+use super::{buffer::Buffer, within};
 use futures_lite::AsyncRead;
 use std::fmt;
 use std::io;
+use std::time::Duration;
 
 /// A head longer than this is not read on.
 pub const HEAD_LIMIT: usize = 16 << 10;
 /// A body of a request or an answer holds at most this.
 pub const BODY_LIMIT: usize = 64 << 10;
 const HEADERS_LIMIT: usize = 100;
+/// A method longer than this is none.
+const METHOD_LIMIT: usize = 24;
+/// Interim answers before the final one.
+const INTERIM_LIMIT: usize = 16;
 
 /// Why a message could not be read.
 #[derive(Debug)]
@@ -22,6 +27,8 @@
     HeadTooLong,
     /// Its body is too long.
     BodyTooLong,
+    /// It began and did not come to its end in time.
+    Stalled,
 }
 
 impl fmt::Display for Fault {
@@ -31,6 +38,7 @@
             Fault::Malformed(what) => write!(f, "malformed {what}"),
             Fault::HeadTooLong => f.write_str("head is too long"),
             Fault::BodyTooLong => f.write_str("body is too long"),
+            Fault::Stalled => f.write_str("message does not end"),
         }
     }
 }
@@ -62,6 +70,15 @@
         self.headers.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
     }
 
+    /// The only header of that name, if any; a second one makes the message ambiguous.
+    pub fn only<'a>(&'a self, name: &'a str) -> Result<Option<&'a str>> {
+        let mut all = self.all(name);
+        match (all.next(), all.next()) {
+            (value, None) => Ok(value),
+            _ => Err(Fault::Malformed("header, given twice")),
+        }
+    }
+
     /// Whether a header's comma-separated value holds a word.
     pub fn has(&self, name: &str, word: &str) -> bool {
         self.all(name).flat_map(|v| v.split(',')).any(|w| w.trim().eq_ignore_ascii_case(word))
@@ -86,7 +103,7 @@
 }
 
 /// The framing that the headers state; `otherwise` where they state none.
-pub fn framing(head: &Head, otherwise: Framing) -> Result<Framing> {
+pub fn framing(head: &Head, version: &str, otherwise: Framing) -> Result<Framing> {
     let mut coding = head.all("transfer-encoding");
     let mut length = None;
     for value in head.all("content-length") {
@@ -99,22 +116,48 @@
     match (coding.next(), length) {
         (None, Some(n)) => Ok(Framing::Length(n)),
         (None, None) => Ok(otherwise),
-        (Some(c), None) if c.eq_ignore_ascii_case("chunked") && coding.next().is_none() => {
-            Ok(Framing::Chunked)
-        }
+        (Some(c), None) if c.eq_ignore_ascii_case("chunked") && coding.next().is_none() => match version {
+            "HTTP/1.1" => Ok(Framing::Chunked),
+            _ => Err(Fault::Malformed("transfer encoding")),
+        },
         _ => Err(Fault::Malformed("transfer encoding")),
     }
 }
 
-/// Reads a message's head, having waited for it; `None` where the stream ends before the first byte.
-pub async fn read_head(buffer: &mut Buffer, stream: &mut (impl AsyncRead + Unpin)) -> Result<Option<Head>> {
-    let mut seen = 0_usize;
+fn is_token(b: u8) -> bool {
+    b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b)
+}
+
+/// Whether these first bytes may begin a request.
+pub fn begins_request(bytes: &[u8]) -> bool {
+    let method = bytes.split(|&b| b == b' ').next().unwrap_or_default();
+    method.len() <= METHOD_LIMIT && method.iter().all(|&b| is_token(b))
+}
+
+/// Whether these first bytes may begin an answer.
+pub fn begins_answer(bytes: &[u8]) -> bool {
+    bytes.iter().zip(b"HTTP/1.").all(|(a, b)| a == b)
+}
+
+/// Reads a message's head, having waited for it; `None` where the stream ends before the first byte. What
+/// cannot begin one is not waited out. One empty line before it is passed over.
+pub async fn read_head(
+    buffer: &mut Buffer,
+    stream: &mut (impl AsyncRead + Unpin),
+    begins: fn(&[u8]) -> bool,
+) -> Result<Option<Head>> {
+    let (mut seen, mut passed) = (0_usize, false);
     loop {
-        // Empty lines before a message are passed over.
-        while seen == 0 && buffer.filled().starts_with(b"\r\n") {
+        if !passed && buffer.filled().starts_with(b"\r\n") {
+            passed = true;
             buffer.consume(2);
+            seen = 0;
         }
         let filled = buffer.filled();
+        let empty_line = !passed && b"\r\n".starts_with(filled);
+        if !empty_line && !begins(filled) {
+            return Err(Fault::Malformed("first line"));
+        }
         let from = seen.saturating_sub(3);
         if let Some(at) = filled[from..].windows(4).position(|w| w == b"\r\n\r\n") {
             let length = from + at;
@@ -147,8 +190,8 @@
     let mut headers = Vec::new();
     for line in lines {
         let Some((name, value)) = line.split_once(':') else { return Err(Fault::Malformed("header")) };
-        let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
-        if name.is_empty() || !name.bytes().all(token) || value.bytes().any(|b| b < b' ' && b != b'\t') {
+        let odd = |b: u8| b < b' ' && b != b'\t' || b == 0x7f;
+        if name.is_empty() || !name.bytes().all(is_token) || value.bytes().any(odd) {
             return Err(Fault::Malformed("header"));
         }
         if headers.len() == HEADERS_LIMIT {
@@ -194,14 +237,16 @@
     limit: usize,
 ) -> Result<Vec<u8>> {
     let mut body = Vec::new();
+    // What is not body must not go on for ever either.
+    let mut spare = limit.max(HEAD_LIMIT);
     loop {
-        let line = read_line(buffer, stream).await?;
-        let size = line.split(';').next().unwrap_or_default().trim();
+        let line = read_line(buffer, stream, &mut spare).await?;
+        let size = line.split(';').next().unwrap_or_default().trim_end_matches([' ', '\t']);
         let hex = !size.is_empty() && size.len() <= 8 && size.bytes().all(|b| b.is_ascii_hexdigit());
         let size = usize::from_str_radix(size, 16).ok().filter(|_| hex);
         let size = size.ok_or(Fault::Malformed("chunk size"))?;
         if size == 0 {
-            while !read_line(buffer, stream).await?.is_empty() {}
+            while !read_line(buffer, stream, &mut spare).await?.is_empty() {}
             return Ok(body);
         }
         if body.len() + size > limit {
@@ -217,15 +262,22 @@
     }
 }
 
-async fn read_line(buffer: &mut Buffer, stream: &mut (impl AsyncRead + Unpin)) -> Result<String> {
+async fn read_line(
+    buffer: &mut Buffer,
+    stream: &mut (impl AsyncRead + Unpin),
+    spare: &mut usize,
+) -> Result<String> {
     loop {
-        if let Some(at) = buffer.filled().windows(2).position(|w| w == b"\r\n") {
+        let end = buffer.filled().windows(2).position(|w| w == b"\r\n");
+        if end.unwrap_or(buffer.filled().len()) + 2 > (*spare).min(HEAD_LIMIT) {
+            return Err(Fault::Malformed("line is too long"));
+        }
+        if let Some(at) = end {
+            *spare -= at + 2;
             let line = String::from_utf8_lossy(&buffer.filled()[..at]).into_owned();
             buffer.consume(at + 2);
-            return Ok(line);
-        }
-        if buffer.filled().len() > HEAD_LIMIT {
-            return Err(Fault::Malformed("line is too long"));
+            let odd = |b: u8| b < b' ' && b != b'\t';
+            return if line.bytes().any(odd) { Err(Fault::Malformed("chunk")) } else { Ok(line) };
         }
         if buffer.fill(stream).await? == 0 {
             return Err(Fault::Broken);
@@ -243,26 +295,51 @@
 }
 
 /// Reads a whole answer, past interim ones: its head, status and body, and whether the connection goes on.
+/// Waiting for it is up to the caller, but once one has begun it must be whole `whole_within` that time.
 pub async fn read_answer(
     buffer: &mut Buffer,
     stream: &mut (impl AsyncRead + Unpin),
     limit: usize,
+    whole_within: Duration,
 ) -> Result<(Head, u16, Vec<u8>, bool)> {
-    loop {
-        let head = read_head(buffer, stream).await?.ok_or(Fault::Broken)?;
-        if !head.line[0].starts_with("HTTP/1.") {
-            return Err(Fault::Malformed("version"));
+    for _ in 0..=INTERIM_LIMIT {
+        if buffer.is_empty() && buffer.fill(stream).await? == 0 {
+            return Err(Fault::Broken);
         }
-        let status = head.line[1].parse::<u16>().map_err(|_| Fault::Malformed("status"))?;
-        if (100..200).contains(&status) {
-            continue;
+        let answer = async { Ok(read_one_answer(buffer, stream, limit).await) };
+        let answer = within(whole_within, answer).await.unwrap_or(Err(Fault::Stalled))?;
+        if let Some(answer) = answer {
+            return Ok(answer);
         }
-        let framing = match status {
-            204 | 304 => Framing::Length(0),
-            _ => framing(&head, Framing::ToEnd)?,
-        };
-        let body = read_body(buffer, stream, framing, limit).await?;
-        let keep = framing != Framing::ToEnd && head.keeps_alive(&head.line[0]);
-        return Ok((head, status, body, keep));
     }
+    Err(Fault::Malformed("answer, interim for ever"))
+}
+
+async fn read_one_answer(
+    buffer: &mut Buffer,
+    stream: &mut (impl AsyncRead + Unpin),
+    limit: usize,
+) -> Result<Option<(Head, u16, Vec<u8>, bool)>> {
+    let head = read_head(buffer, stream, begins_answer).await?.ok_or(Fault::Broken)?;
+    let version = head.line[0].as_str();
+    if !matches!(version, "HTTP/1.1" | "HTTP/1.0") {
+        return Err(Fault::Malformed("version"));
+    }
+    let status = &head.line[1];
+    let status = status.parse::<u16>().ok().filter(|s| status.len() == 3 && (100..600).contains(s));
+    let status = status.ok_or(Fault::Malformed("status"))?;
+    if status < 200 {
+        return if status == 101 { Err(Fault::Malformed("status")) } else { Ok(None) };
+    }
+    let framing = match status {
+        204 | 304 => Framing::Length(0),
+        _ => framing(&head, version, Framing::ToEnd)?,
+    };
+    let keep = framing != Framing::ToEnd && head.keeps_alive(version);
+    // Only a connection that is said to end can tell where a body ends that has no length.
+    if framing == Framing::ToEnd && head.keeps_alive(version) {
+        return Err(Fault::Malformed("framing"));
+    }
+    let body = read_body(buffer, stream, framing, limit).await?;
+    Ok(Some((head, status, body, keep)))
 }
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -194,7 +194,7 @@
         let call = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {}\r\n\r\n", self.discovery);
         let exchange = async {
             c.stream.write_all(call.as_bytes()).await?;
-            let answer = http::read_answer(&mut c.buffer, &mut c.stream, LIST_LIMIT).await;
+            let answer = http::read_answer(&mut c.buffer, &mut c.stream, LIST_LIMIT, PATIENCE).await;
             answer.map_err(|fault| io::Error::other(fault.to_string()))
         };
         let (_, status, body, keep) = within(hold + PATIENCE, exchange).await?;
@@ -204,7 +204,7 @@
         let answer: Answer = serde_json::from_slice(&body)?;
         let listed = answer.listed(&self.names).map_err(io::Error::other)?;
         self.generation = Some(answer.generation);
-        if keep {
+        if keep && c.buffer.is_empty() {
             *connection = Some(c);
         }
         Ok(listed)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,12 +10,17 @@
 use futures_lite::future;
 use std::future::Future;
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Runs a future for at most so long.
 pub async fn within<T>(limit: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    by(Instant::now() + limit, work).await
+}
+
+/// Runs a future until some time at the latest.
+pub async fn by<T>(until: Instant, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
     future::or(work, async {
-        Timer::after(limit).await;
+        Timer::at(until).await;
         Err(io::ErrorKind::TimedOut.into())
     })
     .await
--- a/src/net/servers/mod.rs
+++ b/src/net/servers/mod.rs
@@ -93,6 +93,11 @@
         self.connections.set(connections);
     }
 
+    /// Connections held at most.
+    pub fn bound(&self) -> usize {
+        self.connections.get()
+    }
+
     /// Closes the idle connections to targets that are not wanted any more.
     pub fn keep_only(&self, wanted: impl Fn(EndpointId) -> bool) {
         self.idle.borrow_mut().retain(|&id, _| wanted(id));
--- a/src/net/servers/send.rs
+++ b/src/net/servers/send.rs
@@ -2,13 +2,16 @@
 
 use super::{Connection, Servers};
 use crate::interface::*;
-use crate::net::http::{self, Head};
+use crate::net::http::{self, Fault, Head};
 use crate::sidecar::{Forward, Halt};
 use async_io::Timer;
 use futures_lite::{AsyncWriteExt, future};
 use std::cell::Cell;
 use std::fmt::Write;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// An answer that has begun must be whole within this time: it is 64 KiB at most, made before it is sent.
+const WHOLE_WITHIN: Duration = Duration::from_millis(500);
 
 /// A request as it goes to targets: all of it but the time left.
 #[derive(Clone, Debug)]
@@ -67,7 +70,9 @@
         };
         let exchange = self.exchange(forward, until, message, &progress);
         let ended = future::or(exchange, future::or(halted, timeout)).await;
-        self.heard(forward.target.id, ended.0);
+        if forward.wanted() {
+            self.heard(forward.target.id, ended.0);
+        }
         ended
     }
 
@@ -86,7 +91,6 @@
         };
         let Ok(mut connection) = connection else { return failed(Outcome::ConnectFailed) };
         if !forward.wanted() {
-            self.put(target.id, connection);
             return failed(Outcome::ConnectFailed);
         }
         let bytes = serialize(message, until);
@@ -94,9 +98,16 @@
             return failed(Outcome::ConnectFailed);
         }
         let mut stream = &*connection.stream;
-        let answer = http::read_answer(&mut connection.buffer, &mut stream, http::BODY_LIMIT).await;
-        let Ok((head, status, body, keep)) = answer else { return failed(Outcome::Reset) };
-        if keep && connection.buffer.is_empty() {
+        let buffer = &mut connection.buffer;
+        let answer = http::read_answer(buffer, &mut stream, http::BODY_LIMIT, WHOLE_WITHIN).await;
+        let (head, status, body, keep) = match answer {
+            Ok(answer) => answer,
+            Err(Fault::Broken) => return failed(Outcome::Reset),
+            // The target lives and has answered, with nothing that anybody can use.
+            Err(_) => return failed(Outcome::Error),
+        };
+        // What came behind the answer belongs to no request; nor does a target that has left need connections.
+        if keep && connection.buffer.is_empty() && forward.wanted() {
             self.put(target.id, connection);
         }
         let outcome = match status {
@@ -108,15 +119,18 @@
         (outcome, self.report(&head), Served { content_type, body })
     }
 
-    /// The load report of an answer; one that cannot be read is none.
+    /// The load report of an answer; one that cannot be read, in whatever part, is none.
     fn report(&self, head: &Head) -> Option<LoadReport> {
-        let text = head.get("x-backend-load")?;
-        let value = |i: usize| {
-            let name = self.terms.field_names.get(i)?;
-            let pair = text.split(',').filter_map(|p| p.split_once('='));
-            pair.into_iter().find(|(n, _)| n.trim() == name)?.1.trim().parse().ok()
-        };
-        Some(self.terms.fields.report(value))
+        let text = head.only("x-backend-load").ok()??;
+        let mut values = vec![None; self.terms.field_names.len()];
+        for pair in text.split(',') {
+            let (name, value) = pair.split_once('=')?;
+            let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0)?;
+            if let Some(i) = self.terms.field_names.iter().position(|n| n == name.trim()) {
+                values[i] = Some(value);
+            }
+        }
+        Some(self.terms.fields.report(|i| *values.get(i)?))
     }
 }
 
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -77,7 +77,7 @@
     balancer     0 of 1
     classes      look, order
     tenants      north
-    connections  585 clients, 390 targets
+    connections  625 clients, 375 targets
     known        list 41
     "#);
 }
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -209,13 +209,26 @@
     let mut answers = String::new();
     for (what, request) in [
         ("no HTTP", "hello\n\n".to_owned()),
+        ("noise that does not end", "\u{1}\u{2}".to_owned()),
         ("no version", LOOK.replace(" HTTP/1.1", "")),
+        ("two empty lines", format!("\n\n{LOOK}")),
         ("broken header", LOOK.replace("Host: ", "Host ")),
+        ("folded header", LOOK.replace("X-Account", " X-Account")),
+        ("no host", LOOK.replace("Host: service.internal\n", "")),
+        ("two ids", LOOK.replace("Host:", "X-Correlation-Id: c9\nHost:")),
         ("two lengths", ORDER.replace("Content-Length: 5", "Content-Length: 5\nContent-Length: 6")),
         (
             "two framings",
             ORDER.replace("Content-Length: 5", "Content-Length: 5\nTransfer-Encoding: chunked"),
         ),
+        (
+            "chunked of old",
+            ORDER.replace("1.1", "1.0").replace("Content-Length: 5", "Transfer-Encoding: chunked"),
+        ),
+        (
+            "odd chunk",
+            ORDER.replace("Content-Length: 5", "Transfer-Encoding: chunked").replace("paper", "-5\npaper"),
+        ),
         ("odd length", ORDER.replace("Length: 5", "Length: +5")),
         ("long head", LOOK.replace("c1", &"c".repeat(20_000))),
         ("long body", ORDER.replace("Length: 5", "Length: 65537")),
@@ -226,6 +239,9 @@
         ("no id", LOOK.replace("X-Correlation-Id: c1\n", "")),
         ("no key", ORDER.replace("Idempotency-Key: k2\n", "")),
         ("wrong method", LOOK.replace("GET", "DELETE")),
+        ("time left in words", LOOK.replace("3000", "soon")),
+        ("negative time left", LOOK.replace("3000", "-3000")),
+        ("time left beyond numbers", LOOK.replace("3000", "99999999999999999999")),
     ] {
         let answer = sidecar.ask(&request);
         let close = if answer.contains("Connection: close") { ", closes" } else { "" };
@@ -233,23 +249,33 @@
     }
     assert_snapshot!(answers, @r"
     no HTTP: HTTP/1.1 400 Bad Request, closes
+    noise that does not end: HTTP/1.1 400 Bad Request, closes
     no version: HTTP/1.1 400 Bad Request, closes
+    two empty lines: HTTP/1.1 400 Bad Request, closes
     broken header: HTTP/1.1 400 Bad Request, closes
+    folded header: HTTP/1.1 400 Bad Request, closes
+    no host: HTTP/1.1 400 Bad Request, closes
+    two ids: HTTP/1.1 400 Bad Request, closes
     two lengths: HTTP/1.1 400 Bad Request, closes
     two framings: HTTP/1.1 400 Bad Request, closes
+    chunked of old: HTTP/1.1 400 Bad Request, closes
+    odd chunk: HTTP/1.1 400 Bad Request, closes
     odd length: HTTP/1.1 400 Bad Request, closes
     long head: HTTP/1.1 431 Request Header Fields Too Large, closes
     long body: HTTP/1.1 413 Content Too Large, closes
-    unknown path: HTTP/1.1 404 Not Found
-    unknown class: HTTP/1.1 404 Not Found
-    another class: HTTP/1.1 400 Bad Request
-    unknown account: HTTP/1.1 400 Bad Request
-    no id: HTTP/1.1 400 Bad Request
-    no key: HTTP/1.1 400 Bad Request
-    wrong method: HTTP/1.1 405 Method Not Allowed
+    unknown path: HTTP/1.1 404 Not Found, closes
+    unknown class: HTTP/1.1 404 Not Found, closes
+    another class: HTTP/1.1 400 Bad Request, closes
+    unknown account: HTTP/1.1 400 Bad Request, closes
+    no id: HTTP/1.1 400 Bad Request, closes
+    no key: HTTP/1.1 400 Bad Request, closes
+    wrong method: HTTP/1.1 405 Method Not Allowed, closes
+    time left in words: HTTP/1.1 400 Bad Request, closes
+    negative time left: HTTP/1.1 400 Bad Request, closes
+    time left beyond numbers: HTTP/1.1 400 Bad Request, closes
     ");
-    // A time left that cannot be read stands for the class's own.
-    assert!(sidecar.ask(&LOOK.replace("3000", "soon")).starts_with("HTTP/1.1 200"));
+    // A time left that is not given stands for the class's own.
+    assert!(sidecar.ask(&LOOK.replace("X-Time-Left-Ms: 3000\n", "")).starts_with("HTTP/1.1 200"));
     assert!(seen.recv().unwrap().starts_with("GET /look"));
     assert!(seen.try_recv().is_err(), "nothing else reached the target");
     sidecar.ends();
@@ -299,8 +325,9 @@
     let sidecar = Running::knowing(&[target.address], &discovery);
     let mut clients: Vec<_> = (0..3).map(|_| sidecar.client()).collect();
     let mut came = Vec::new();
-    for client in &mut clients {
-        send(client, LOOK);
+    let look = |i: usize| LOOK.replace("c1", &format!("c{i}"));
+    for (i, client) in clients.iter_mut().enumerate() {
+        send(client, &look(i));
         came.push(target.accept());
     }
     for (came, client) in came.iter_mut().zip(&mut clients) {
@@ -308,8 +335,8 @@
         assert!(message(client).starts_with("HTTP/1.1 200"));
     }
     // The most recently used ones are used first; two forwards time out, and the third connection goes.
-    for client in &mut clients[..2] {
-        send(client, LOOK);
+    for (i, client) in clients[..2].iter_mut().enumerate() {
+        send(client, &look(i));
     }
     let [first, second, third] = &mut came[..] else { unreachable!() };
     assert!(third.next().starts_with("GET"));
@@ -368,3 +395,145 @@
     assert!(message(&mut client).ends_with("new"));
     sidecar.ends();
 }
+
+/// Guards against: a second request under the id of an open one served, and its client given the other's answer.
+#[test]
+fn the_id_of_an_open_request_is_turned_away() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let mut client = sidecar.client();
+    send(&mut client, LOOK);
+    let mut came = target.accept();
+    assert!(sidecar.ask(LOOK).starts_with("HTTP/1.1 409"));
+    came.reply("200 OK", "", "mine");
+    assert!(message(&mut client).ends_with("mine"));
+    // Once that one is answered, its id is as good as any.
+    send(&mut client, LOOK);
+    assert!(came.next().starts_with("GET"));
+    came.reply("200 OK", "", "again");
+    assert!(message(&mut client).ends_with("again"));
+    sidecar.ends();
+}
+
+/// Guards against: the refusal of a huge body lost in the reset that closing on unread input brings.
+#[test]
+fn a_huge_body_is_refused_from_its_head() {
+    let discovery = Peer::new();
+    let sidecar = Running::knowing(&[discovery.address], &discovery);
+    let mut client = sidecar.client();
+    send(&mut client, &ORDER.replace("Length: 5", "Length: 60000000"));
+    for _ in 0..64 {
+        // All of it is taken, though the answer has long been given.
+        client.write_all(&[b'x'; 64 << 10]).expect("it reads on");
+    }
+    assert!(message(&mut client).starts_with("HTTP/1.1 413"));
+    sidecar.ends();
+}
+
+/// Guards against: clients that say nothing, or begin and do not end, left with neither answer nor close.
+#[test]
+fn the_silent_and_the_slow_are_let_go_within_three_seconds() {
+    let discovery = Peer::new();
+    let sidecar = Running::knowing(&[discovery.address], &discovery);
+    let begun = std::time::Instant::now();
+    let (mut silent, mut slow) = (sidecar.client(), sidecar.client());
+    send(&mut slow, "GET /look/7 HTTP/1.1\nX-");
+    assert_eq!(message(&mut silent), "");
+    assert!(message(&mut slow).starts_with("HTTP/1.1 408"));
+    assert!(begun.elapsed().as_secs() < 3);
+    sidecar.ends();
+}
+
+/// Guards against: a sender whose message never ends keeping the one thread to itself.
+#[test]
+fn an_endless_sender_starves_nobody() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let _seen = target.echo();
+    let mut endless = sidecar.client();
+    let chunked = ORDER.replace("Content-Length: 5", "Transfer-Encoding: chunked").replace("paper", "0\n");
+    send(&mut endless, &chunked);
+    let sender =
+        std::thread::spawn(move || while endless.write_all(&b"X-More: 1\r\n".repeat(4096)).is_ok() {});
+    for _ in 0..20 {
+        assert!(sidecar.ask(LOOK).starts_with("HTTP/1.1 200"));
+    }
+    sender.join().expect("it is cut off");
+    sidecar.ends();
+}
+
+/// Guards against: spoilt answers passed on, waited out, or taken for a break of the connection's machine; and
+/// their connections used again.
+#[test]
+fn a_spoilt_answer_is_a_failed_forward_and_ends_its_connection() {
+    let endless_head = format!("HTTP/1.1 200 OK\r\n{}", "X-Pad: p\r\n".repeat(3000));
+    let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(40);
+    let spoilt = [
+        "\u{7f}noise",
+        "HTTP/1.1 2OO OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-",
+        &endless_head,
+        &interim,
+    ];
+    // Few at a time: the balancer grants a fresh sidecar four further forwards.
+    for spoilt in spoilt.chunks(4) {
+        let (target, discovery) = (Peer::new(), Peer::new());
+        let sidecar = Running::knowing(&[target.address], &discovery);
+        for spoilt in spoilt {
+            let mut client = sidecar.client();
+            send(&mut client, LOOK);
+            let mut came = target.accept();
+            came.stream.write_all(spoilt.as_bytes()).unwrap();
+            assert_eq!(came.next(), "", "closed at once: {spoilt:.40}");
+            let mut second = target.accept();
+            second.reply("200 OK", "Connection: close\r\n", "good");
+            assert!(message(&mut client).ends_with("good"));
+        }
+        sidecar.ends();
+    }
+}
+
+/// Guards against: what comes behind a good answer taken for the next request's.
+#[test]
+fn more_than_belongs_to_an_answer_is_never_used() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let mut client = sidecar.client();
+    let good = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood";
+    for more in ["HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood", "noise"] {
+        send(&mut client, LOOK);
+        let mut came = target.accept();
+        came.stream.write_all(format!("{good}{more}").as_bytes()).unwrap();
+        assert!(message(&mut client).ends_with("good"));
+        assert_eq!(came.next(), "", "its connection is closed");
+    }
+    sidecar.ends();
+}
+
+/// Guards against: connections kept to a target that left while it had a forward; its address may pass to another.
+#[test]
+fn a_connection_to_a_target_that_has_left_is_not_kept() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let mut watch = discovery.accept();
+    let mut client = sidecar.client();
+    send(&mut client, LOOK);
+    let mut came = target.accept();
+    // The address passes to another id, which must be met on a connection of its own.
+    let lines = [line("t0", target.address, "left"), line("t1", target.address, "active")];
+    watch.reply("200 OK", "", &list(2, false, &lines));
+    watch.next();
+    came.reply("200 OK", "", "last");
+    assert!(message(&mut client).ends_with("last"));
+    assert_eq!(came.next(), "", "its connection is closed");
+    send(&mut client, LOOK);
+    target.accept().reply("200 OK", "", "first");
+    assert!(message(&mut client).ends_with("first"));
+    sidecar.ends();
+}
--- a/tests/sidecar/peers.rs
+++ b/tests/sidecar/peers.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longer than any wait in these stories: only a failure takes it.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -73,15 +73,32 @@
     }
 
     pub fn accept(&self) -> Came {
-        let (mut stream, _) = self.listener.accept().expect("the sidecar connects");
+        let mut stream = self.next();
         let text = message(&mut stream);
         Came { stream, text }
     }
 
+    /// Waits for the sidecar to connect; the story fails where it does not.
+    fn next(&self) -> TcpStream {
+        self.listener.set_nonblocking(true).expect("a socket");
+        let begun = Instant::now();
+        loop {
+            match self.listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).expect("a socket");
+                    return stream;
+                }
+                Err(_) if begun.elapsed() < PATIENCE => thread::yield_now(),
+                Err(e) => panic!("the sidecar does not connect: {e}"),
+            }
+        }
+    }
+
     /// Answers all that comes with 200 and its own first line, from here on, on threads of its own. Yields
     /// each message as it comes.
     pub fn echo(self) -> Receiver<String> {
         let (seen, sees) = channel();
+        self.listener.set_nonblocking(false).expect("a socket");
         thread::spawn(move || {
             for stream in self.listener.incoming() {
                 let (seen, mut stream): (Sender<String>, _) = (seen.clone(), stream.expect("a connection"));
