Do not cut the limit on refusals beside far fewer calls than an endpoint carries

Cause, by a probe in the module: two of its four endpoints answered 503 with X-Unprocessed to about a quarter of their requests, each after 104.7 ms on a kept connection, with reports of 7 to 30% utilization and two of our calls out, and served the rest. Each such answer cut the limit (policy.rs, learn) until it lay at its least, 8. Checked and ruled out: the bound on connections (never met), the tiers behind (no cut there), connections (all kept ones). Now an endpoint's most calls beside which it served one is remembered, fading; a refusal beside less than six tenths of it says nothing of the limit. It still pauses the endpoint and draws on the budget. Test: refusals_beside_far_fewer_calls_than_an_endpoint_carries_do_not_shrink_it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,6 +32,10 @@
 /// One cut of the limit, and the share of outcomes not accepted that calls for one.
 const LIMIT_CUT: f64 = 0.85;
 const LIMIT_TROUBLE: f64 = 0.125;
+/// An endpoint that carries this many calls of ours, and refuses one beside less than this share of them,
+/// refuses for reasons of its own.
+const CARRIED_MIN: f64 = 4.0;
+const CARRIED_SHARE: f64 = 0.6;
 /// Weight of one outcome in the share of outcomes not accepted.
 const OUTCOME_GAIN: f64 = 1.0 / 16.0;
 /// Weight of one answer in a class's usual time.
@@ -81,6 +85,8 @@
 struct Attempt {
     endpoint: EndpointId,
     sent: Time,
+    /// Calls of ours that its endpoint had when it was sent, this one included.
+    beside: u32,
     out: bool,
 }
 
@@ -122,6 +128,8 @@
     /// Attempts of ours that are out, and all recent ones.
     out: u32,
     recent: Faded,
+    /// Most calls of ours that an attempt it served was sent beside; fades as it ages.
+    carried: Faded,
     /// Failures since it last answered, and how long it is paused for them.
     strikes: u32,
     paused_until: Time,
@@ -681,7 +689,8 @@
             let endpoint = s.info.id;
             self.sends.add(now, 1.0);
             let until = r.worth_until;
-            r.attempts.push(Attempt { endpoint, sent: now, out: true });
+            let beside = s.out;
+            r.attempts.push(Attempt { endpoint, sent: now, beside, out: true });
             actions.push(Action::Send { id, endpoint, until });
         }
         self.requests.insert(id, r);
@@ -717,7 +726,16 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
         a.out = false;
-        let sent = a.sent;
+        let (sent, beside) = (a.sent, f64::from(a.beside));
+        let mut own_reasons = false;
+        if let Some(&i) = self.index.get(&endpoint) {
+            let carried = &mut self.servers[i].carried;
+            let most = carried.get(self.now);
+            if outcome == Outcome::Ok && beside > most {
+                *carried = Faded { value: beside, at: self.now };
+            }
+            own_reasons = outcome == Outcome::Full && most >= CARRIED_MIN && beside < most * CARRIED_SHARE;
+        }
         let class = usize::from(r.call.class.0);
         if !outcome.never_ran() && r.may_have_run.is_none_or(|(first, ..)| sent < first) {
             let (zone, cell) = place.unwrap_or((ZoneId(u16::MAX), CellId(u16::MAX)));
@@ -728,8 +746,10 @@
             *usual += if *usual > 0.0 { (taken - *usual) * TIME_GAIN } else { taken };
         }
         // One endpoint's failures in a row say no more about the limit than the first did (i753040: a few
-        // that hang would shrink it for all).
-        if outcome == Outcome::Ok || !failing && !matches!(outcome, Outcome::Cancelled | Outcome::Moot) {
+        // that hang would shrink it for all), nor do refusals beside far fewer calls than it carries (two of
+        // four that refused a quarter of their calls, whatever they held, shrank it to its least).
+        let telling = !failing && !own_reasons && !matches!(outcome, Outcome::Cancelled | Outcome::Moot);
+        if outcome == Outcome::Ok || telling {
             // An attempt that outlives its whole aim is a time-out in all but name.
             let late = outcome == Outcome::Ok && elapsed > self.set.classes[class].aim;
             self.learn(if late { Outcome::TimedOut } else { outcome }, sent);
@@ -814,6 +834,7 @@
                 weight: 0.0,
                 out: known.map_or(0, |i| self.servers[i].out),
                 recent,
+                carried: Faded::default(),
                 strikes: 0,
                 paused_until: Time(0),
                 cold_credit: (self.rng.f64(), self.now),
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -19,8 +19,11 @@
         }
     }
     let room = running.len();
-    for (id, _) in running {
+    for (id, endpoint) in running {
         d.event(Event::Departed { id });
+        // Each send is owed its outcome, also one that was called off.
+        let (outcome, elapsed) = (Outcome::Cancelled, ms(0));
+        d.event(Event::Finished { id, attempt: 0, endpoint, outcome, closed: true, elapsed, report: None });
     }
     d.wake(ms(5000));
     room
@@ -137,3 +140,34 @@
     overload(&mut d);
     assert_eq!(room(&mut d), 10, "2 * 100 endpoints / 20 siblings");
 }
+
+/// Guards against: a few endpoints that turn calls away for reasons of their own shrinking the limit for all. Two
+/// of four did so with a call in four while they carried the rest, and two thirds of the limit went with it.
+#[test]
+fn refusals_beside_far_fewer_calls_than_an_endpoint_carries_do_not_shrink_it() {
+    let entries: Vec<_> = (1..=4).map(endpoint).collect();
+    let mut d = Driver::with(settings(), &entries);
+    let mut refused = 0;
+    for round in 0..30 {
+        // Now and then eight calls at each endpoint, all served ...
+        if round % 10 == 0 {
+            let calls: Vec<_> = (0..32).filter_map(|_| sent(&d.call(SAFE).1)).collect();
+            for (id, endpoint) in calls {
+                d.finish(id, 0, endpoint, Outcome::Ok);
+            }
+        }
+        // ... and all the time one or two at each, of which two endpoints turn some away.
+        let calls: Vec<_> = (0..6).filter_map(|_| sent(&d.call(SAFE).1)).collect();
+        for (id, endpoint) in calls {
+            let own = endpoint.0 <= 2 && round % 2 == 0;
+            refused += u32::from(own);
+            let again = d.finish(id, 0, endpoint, if own { Outcome::Full } else { Outcome::Ok });
+            for (id, endpoint) in sends(&again) {
+                d.finish(id, 1, endpoint, Outcome::Ok);
+            }
+        }
+        d.wake(ms(250));
+    }
+    assert!(refused >= 10, "{refused}");
+    assert!(room(&mut d) > 100);
+}
