Add the laboratory: an emulator that drives the decision module, rivals and proofs

Need: routing and recovery must be tried on hundreds of fleets under failures that no machine here holds.

--- a/crates/decide/src/policy/limit.rs
+++ b/crates/decide/src/policy/limit.rs
@@ -12,6 +12,11 @@
 const OUTCOME_GAIN: f64 = 1.0 / 16.0;
 
 impl Balancer {
+    /// The width-weighted calls that may run at once; infinite while nothing has been learned.
+    pub fn limit(&self) -> f64 {
+        self.limit
+    }
+
     /// Learns the limit from one outcome: only `Full` and time-outs count as not accepted.
     pub(super) fn learn(&mut self, outcome: Outcome, sent: Time) {
         let refused = matches!(outcome, Outcome::Full | Outcome::TimedOut);
--- /dev/null
+++ b/crates/lab/src/experiment.rs
@@ -0,0 +1,130 @@
+//! Experiments: one run, many runs side by side, and what a paired comparison says.
+
+use crate::draw::{Draw, Purpose};
+use crate::policies::Policy;
+use crate::scenario::Scenario;
+use crate::score::Figures;
+use crate::world::{Played, World};
+use indicatif::{ParallelProgressIterator, ProgressBar, ProgressStyle};
+use rayon::prelude::*;
+use serde::Serialize;
+
+/// Plays one day.
+pub fn play(scenario: &Scenario, seed: u64, policy: Policy) -> Played {
+    let maker = move |settings, seed, now| policy.make(settings, seed, now);
+    World::new(scenario, seed, &maker).play()
+}
+
+/// One day to play.
+#[derive(Clone, Copy, Debug)]
+pub struct Task<'a> {
+    /// On which scenario.
+    pub scenario: &'a Scenario,
+    /// With which seed.
+    pub seed: u64,
+    /// With which policy.
+    pub policy: Policy,
+}
+
+/// What is kept of a day in bulk.
+#[derive(Clone, Debug, PartialEq, Serialize, serde::Deserialize)]
+pub struct Outcome {
+    /// Its figures.
+    pub figures: Figures,
+    /// Breaches of rules, all together.
+    pub breaches: u64,
+    /// The first of them, in words.
+    pub first_breach: Option<String>,
+}
+
+impl From<Played> for Outcome {
+    fn from(played: Played) -> Outcome {
+        Outcome {
+            figures: played.book.figures(),
+            breaches: played.breach_count.iter().sum(),
+            first_breach: played.breaches.first().map(ToString::to_string),
+        }
+    }
+}
+
+/// Plays many days on all cores; the results come in the order of the tasks, whatever the number of threads.
+pub fn play_all(tasks: &[Task<'_>], what: &str) -> Vec<Outcome> {
+    let style = ProgressStyle::with_template("{msg} {wide_bar} {pos}/{len} {eta}");
+    let bar = ProgressBar::new(tasks.len() as u64).with_message(what.to_owned());
+    let bar = match style {
+        Ok(style) => bar.with_style(style),
+        Err(_) => bar,
+    };
+    let one = |t: &Task<'_>| Outcome::from(play(t.scenario, t.seed, t.policy));
+    tasks.par_iter().progress_with(bar).map(one).collect()
+}
+
+/// What a paired comparison says of A less B.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Comparison {
+    /// Pairs.
+    pub pairs: usize,
+    /// Mean of A.
+    pub a: f64,
+    /// Mean of B.
+    pub b: f64,
+    /// Mean difference, A less B.
+    pub difference: f64,
+    /// The 95% interval of the mean difference, by bootstrap over the pairs.
+    pub interval: (f64, f64),
+    /// Share of pairs that A wins, ties counting half.
+    pub wins: f64,
+    /// Whether the interval excludes no difference at all.
+    pub says_something: bool,
+}
+
+/// Resamples for an interval.
+const RESAMPLES: usize = 2000;
+
+/// Compares pairs of figures (A, B), one pair a seed: percentile bootstrap of the mean difference (Efron, 1979).
+pub fn compare(pairs: &[(f64, f64)]) -> Comparison {
+    let n = pairs.len().max(1);
+    let mean = |of: &dyn Fn(&(f64, f64)) -> f64| pairs.iter().map(of).sum::<f64>() / n as f64;
+    let differences: Vec<f64> = pairs.iter().map(|p| p.0 - p.1).collect();
+    let mut draw = Draw::new(n as u64, Purpose::Bootstrap, 0);
+    let mut means: Vec<f64> = (0..RESAMPLES)
+        .map(|_| (0..differences.len()).map(|_| differences[draw.below(n)]).sum::<f64>() / n as f64)
+        .collect();
+    means.sort_unstable_by(f64::total_cmp);
+    let at = |q: f64| means[((RESAMPLES - 1) as f64 * q).round() as usize];
+    let interval = (at(0.025), at(0.975));
+    let wins =
+        differences.iter().map(|d| if *d > 0.0 { 1.0 } else { f64::from(u8::from(*d == 0.0)) / 2.0 });
+    Comparison {
+        pairs: pairs.len(),
+        a: mean(&|p| p.0),
+        b: mean(&|p| p.1),
+        difference: mean(&|p| p.0 - p.1),
+        interval,
+        wins: wins.sum::<f64>() / n as f64,
+        says_something: pairs.len() > 1 && (interval.0 > 0.0 || interval.1 < 0.0),
+    }
+}
+
+/// Spearman's rank correlation of two lists of the same length; ties share their mean rank.
+pub fn rank_correlation(a: &[f64], b: &[f64]) -> f64 {
+    let ranks = |values: &[f64]| -> Vec<f64> {
+        values
+            .iter()
+            .map(|v| {
+                let below = values.iter().filter(|o| *o < v).count() as f64;
+                let same = values.iter().filter(|o| *o == v).count() as f64;
+                below + (same + 1.0) / 2.0
+            })
+            .collect()
+    };
+    let (a, b) = (ranks(a), ranks(b));
+    let mean = (a.len() as f64 + 1.0) / 2.0;
+    let (mut ab, mut aa, mut bb) = (0.0, 0.0, 0.0);
+    for (x, y) in a.iter().zip(&b) {
+        ab += (x - mean) * (y - mean);
+        aa += (x - mean) * (x - mean);
+        bb += (y - mean) * (y - mean);
+    }
+    if aa > 0.0 && bb > 0.0 { ab / libm::sqrt(aa * bb) } else { 0.0 }
+}
--- /dev/null
+++ b/crates/lab/src/policies/broken.rs
@@ -0,0 +1,82 @@
+//! Policies that break one rule each, to show that its checker sees it.
+
+use super::{Decider, Policy, Truth};
+use crate::world::Rule;
+use cottonpoint_decide::*;
+use std::time::Duration;
+
+/// A policy written to break a rule: what it passes on from [`Balancer`] is changed where the rule would hold.
+pub struct Breaks {
+    rule: Rule,
+    inner: Box<dyn Decider>,
+    listed: Vec<EndpointId>,
+    drained: Option<EndpointId>,
+    coldest: Option<(Time, EndpointId)>,
+}
+
+impl Breaks {
+    /// A decider that breaks the rule and is otherwise ours.
+    pub fn new(rule: Rule, settings: Settings, seed: u64, now: Time) -> Breaks {
+        let mut settings = settings;
+        if rule == Rule::NoRepeat {
+            // It believes that nothing has an effect.
+            settings.classes.iter_mut().for_each(|c| c.effect = Effect::Safe);
+        }
+        let inner = Policy::Ours.make(settings, seed, now);
+        Breaks { rule, inner, listed: Vec::new(), drained: None, coldest: None }
+    }
+}
+
+impl Decider for Breaks {
+    fn handle(&mut self, now: Time, event: Event<'_>, truth: &Truth<'_>, actions: &mut Vec<Action>) {
+        if let Event::Endpoints { entries, .. } = event {
+            for e in entries {
+                match e.state {
+                    EndpointState::Ready => {
+                        self.listed.push(e.id);
+                        if let Some(started) = e.started {
+                            self.coldest = self.coldest.max(Some((started, e.id)));
+                        }
+                    }
+                    _ => self.drained = Some(e.id),
+                }
+            }
+        }
+        let from = actions.len();
+        self.inner.handle(now, event, truth, actions);
+        match self.rule {
+            // A final answer is kept back.
+            Rule::OneAnswer => {
+                let mut at = 0;
+                actions.retain(|a| {
+                    at += 1;
+                    at <= from || !matches!(a, Action::Refuse { .. } | Action::Fail { .. })
+                });
+            }
+            // The class of an unsafe call is not looked at: see `new`.
+            Rule::NoRepeat => {}
+            // Each attempt goes out twice at once.
+            Rule::OneOut => {
+                let sends: Vec<Action> =
+                    actions[from..].iter().filter(|a| matches!(a, Action::Send { .. })).copied().collect();
+                actions.extend(sends);
+            }
+            // What drains gets all the work.
+            Rule::Drains => redirect(&mut actions[from..], self.drained),
+            // The youngest server gets all the work.
+            Rule::Cold => {
+                let young = self.coldest.filter(|c| now.since(c.0) < Duration::from_secs(20));
+                redirect(&mut actions[from..], young.map(|c| c.1));
+            }
+        }
+    }
+}
+
+fn redirect(actions: &mut [Action], to: Option<EndpointId>) {
+    let Some(to) = to else { return };
+    for action in actions {
+        if let Action::Send { endpoint, .. } = action {
+            *endpoint = to;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/prove/lab.rs
@@ -0,0 +1,408 @@
+//! The emulator proves itself.
+
+use super::Claim;
+use crate::experiment::{self, Task};
+use crate::policies::broken::Breaks;
+use crate::policies::{Decider, Policy};
+use crate::scenario::Scenario;
+use crate::world::{Rule, World};
+use cottonpoint_decide::{Settings, Time};
+use std::time::Instant;
+
+/// One tier, one class, one sidecar without a limit: a plain queue.
+fn queue(rate: f64, cores: u32, slots: u32, law: &str, length_s: u64) -> String {
+    // The slots are per core; a huge waiting room and no patience at all: nobody is turned away.
+    format!(
+        r#"
+name = "queue"
+about = "A plain queue, for closed forms."
+length = "{length_s}s"
+[network]
+one_way = "0s"
+client = "0s"
+jitter = 0.0
+[discovery]
+asked = false
+[clients]
+retries = 0
+impatient = 0.0
+try_share = 1.0
+[load]
+rate = {rate}
+[[class]]
+name = "only"
+share = 1
+work = "10ms"
+{law}
+aim = "1000s"
+give_up = "1000s"
+worth = 1
+[[tier]]
+name = "only"
+servers = 1
+sidecars = 1
+[tier.connections]
+handshake_work = "0s"
+handshake_trips = 0.0
+cap = 1000000
+full_tax = 0.0
+[[tier.kind]]
+name = "plain"
+cores = {cores}
+slots = {slots}
+queue = 1000000
+"#
+    )
+}
+
+/// Mean time in the system in milliseconds, over some seeds.
+fn mean_time(text: &str, seeds: u64) -> f64 {
+    let Ok(scenario) = Scenario::parse("(proof)", text) else { return f64::NAN };
+    let policy = Policy::Rival(crate::policies::Choice::RoundRobin, crate::policies::Limiting::None, false);
+    let means = (0..seeds).map(|seed| {
+        let played = experiment::play(&scenario, seed, policy);
+        // The histogram holds two digits; over many values its mean is much finer.
+        played.book.times.mean() / 1e3
+    });
+    means.sum::<f64>() / seeds as f64
+}
+
+/// Erlang's C: the share that waits with `c` servers and an offered load of `a` (Erlang, 1917).
+fn erlang_c(c: u32, a: f64) -> f64 {
+    let mut term = 1.0;
+    let mut sum = 0.0;
+    for k in 0..c {
+        sum += term;
+        term *= a / f64::from(k + 1);
+    }
+    let last = term * f64::from(c) / (f64::from(c) - a);
+    last / (sum + last)
+}
+
+fn closed_forms(short: bool, claims: &mut Vec<Claim>) {
+    // The mean service time is 10 ms. Pollaczek and Khinchine: wait = rho (1 + cv^2) / 2 / (1 - rho) * s.
+    let (s, rho) = (10.0, 0.7);
+    let mut forms = vec![
+        ("M/M/1 at 70%", queue(70.0, 1, 1, r#"law = "exponential""#, 2000), s / (1.0 - rho)),
+        ("M/D/1 at 70%", queue(70.0, 1, 1, r#"law = "fixed""#, 2000), s + s * rho / 2.0 / (1.0 - rho)),
+        (
+            "M/G/1 at 70%, log-normal of cv 1.5",
+            queue(70.0, 1, 1, "cv = 1.5", 2000),
+            s + s * rho * (1.0 + 1.5 * 1.5) / 2.0 / (1.0 - rho),
+        ),
+        (
+            "M/G/1 with shared cores (insensitive to the law)",
+            queue(70.0, 1, 1000, "cv = 1.5", 2000),
+            s / (1.0 - rho),
+        ),
+    ];
+    for cores in [4_u32, 16] {
+        let a = f64::from(cores) * 0.8;
+        let time = s + erlang_c(cores, a) * s / (f64::from(cores) - a);
+        let name = if cores == 4 { "M/M/4 at 80%" } else { "M/M/16 at 80%" };
+        forms.push((name, queue(100.0 * a, cores, 1, r#"law = "exponential""#, 2000), time));
+    }
+    let seeds = if short { 4 } else { 40 };
+    for (name, text, expected) in forms {
+        let measured = mean_time(&text, seeds);
+        let off = (measured - expected) / expected;
+        claims.push(Claim::new(
+            format!("mean time in {name}"),
+            format!("{expected:.3} ms within 3%"),
+            format!("{measured:.3} ms, {:+.2}%", off * 100.0),
+            off.abs() <= 0.03,
+        ));
+    }
+}
+
+/// A busy day of two tiers with every kind of trouble, for checks that look at every moment.
+fn rough(seed: u64) -> String {
+    let kinds = [
+        "slow",
+        "fast-errors",
+        "burst",
+        "deploy",
+        "shared-slow",
+        "vanish",
+        "die",
+        "partition",
+        "gray",
+        "outage",
+        "sidecar-down",
+        "drain",
+    ];
+    let mut troubles = String::new();
+    for (i, kind) in kinds.iter().enumerate() {
+        let size = match *kind {
+            "fast-errors" => 0.5,
+            "deploy" => 0.2,
+            _ => 2.0,
+        };
+        let at = 500 + (i as u64 * 700 + seed * 137) % 8000;
+        let tier = (i as u64 + seed) % 2;
+        troubles += &format!(
+            "[[trouble]]\nwhat = \"{kind}\"\nat = \"{at}ms\"\nfor = \"3s\"\ntier = {tier}\npart = 0.4\nsize = {size}\ndrain = \"400ms\"\nsidecars = 0.5\n"
+        );
+    }
+    let stops = seed.is_multiple_of(2);
+    format!(
+        r#"
+name = "rough"
+about = "Every trouble at once."
+length = "10s"
+[discovery]
+notice = ["100ms", "700ms"]
+add = ["10ms", "300ms"]
+silent = ["1s", "2s"]
+[load]
+of_capacity = 0.7
+[[class]]
+name = "safe"
+share = 2
+work = "40ms"
+aim = "300ms"
+give_up = "1s"
+worth = 3
+[[class]]
+name = "keyed"
+share = 1
+work = "60ms"
+aim = "500ms"
+give_up = "2s"
+worth = 8
+effect = "keyed"
+window = "1s"
+[[class]]
+name = "unsafe"
+share = 1
+work = "30ms"
+aim = "400ms"
+give_up = "1s"
+worth = 1
+effect = "unsafe"
+[[tenant]]
+name = "north"
+share = 0.6
+[[tenant]]
+name = "south"
+share = 0.4
+[[tier]]
+name = "front"
+servers = 6
+sidecars = 2
+work = 0.5
+calls = [0.5, 1.5]
+[[tier.kind]]
+name = "plain"
+slots = 8
+queue = 4
+cold_from = 0.2
+cold_for = "5s"
+stops_running = {stops}
+error_rate = 0.01
+[tier.report]
+period = "100ms"
+delay = "50ms"
+noise = 0.1
+[tier.choke]
+waiting = 3
+over = "500ms"
+slower = 3
+rest = "1s"
+below = 0.3
+most = "3s"
+[[tier]]
+name = "back"
+servers = 8
+work = 0.5
+[[tier.kind]]
+name = "plain"
+cores = 2
+slots = 4
+queue = 4
+cold_from = 0.2
+cold_for = "5s"
+stops_running = {stops}
+{troubles}
+"#
+    )
+}
+
+/// Plays a rough day event by event and audits it; returns events, audits and the first thing that did not add
+/// up.
+pub fn conserve(seed: u64, policy: Policy, audit_every: u64) -> (u64, u64, Option<String>) {
+    let scenario = match Scenario::parse("(proof)", &rough(seed)) {
+        Ok(scenario) => scenario,
+        Err(e) => return (0, 0, Some(e.to_string())),
+    };
+    let maker = move |settings, seed, now| policy.make(settings, seed, now);
+    let mut world = World::new(&scenario, seed, &maker);
+    let (mut events, mut audits) = (0, 0);
+    while world.step() {
+        events += 1;
+        if events % audit_every == 0 {
+            audits += 1;
+            if let Err(why) = world.audit() {
+                return (events, audits, Some(format!("seed {seed}, event {events}: {why}")));
+            }
+        }
+    }
+    let end = world.audit().err();
+    let left = world.held();
+    let open =
+        (left[1] + left[2] + left[3] > 0).then(|| format!("seed {seed}: left open at the end: {left:?}"));
+    (events, audits + 1, end.or(open))
+}
+
+fn conservation(short: bool, claims: &mut Vec<Claim>) {
+    let (mut events, mut audits, mut wrong) = (0, 0, None);
+    for seed in 0..if short { 6 } else { 100 } {
+        for policy in ["ours", "p2c+aimd"] {
+            let Ok(policy) = policy.parse() else { continue };
+            let (e, a, w) = conserve(seed, policy, 50);
+            (events, audits, wrong) = (events + e, audits + a, wrong.or(w));
+        }
+    }
+    claims.push(Claim::new(
+        "requests and work are conserved on days with every trouble",
+        "nothing lost or made at any audit, nothing left open",
+        wrong.clone().unwrap_or_else(|| format!("{audits} audits over {events} events")),
+        wrong.is_none() && audits > 0,
+    ));
+}
+
+/// The day on which a rule is most easily broken.
+pub fn broken_day(rule: Rule) -> String {
+    let day = rough(1);
+    match rule {
+        Rule::Cold => day.replace("of_capacity = 0.7", "of_capacity = 0.5"),
+        _ => day,
+    }
+}
+
+/// Breaches of each rule by a policy that breaks one, in the order of [`Rule::ALL`].
+pub fn breaches(rule: Option<Rule>) -> [u64; 5] {
+    let Ok(scenario) = Scenario::parse("(proof)", &broken_day(rule.unwrap_or(Rule::Drains))) else {
+        return [0; 5];
+    };
+    let maker = move |settings: Settings, seed, now: Time| -> Box<dyn Decider> {
+        match rule {
+            Some(rule) => Box::new(Breaks::new(rule, settings, seed, now)),
+            None => Policy::Ours.make(settings, seed, now),
+        }
+    };
+    World::new(&scenario, 1, &maker).play().breach_count
+}
+
+fn rule_checkers(claims: &mut Vec<Claim>) {
+    for (i, rule) in Rule::ALL.into_iter().enumerate() {
+        let found = breaches(Some(rule))[i];
+        claims.push(Claim::new(
+            format!("the checker of {rule:?} sees a policy written to break it"),
+            "one breach at least",
+            format!("{found} breaches"),
+            found > 0,
+        ));
+    }
+    let ours = breaches(None);
+    claims.push(Claim::new(
+        "our policy on the same rough day",
+        "no breach",
+        format!("{} breaches", ours.iter().sum::<u64>()),
+        ours.iter().all(|n| *n == 0),
+    ));
+}
+
+fn same_on_all_threads(claims: &mut Vec<Claim>) {
+    let Ok(scenario) = Scenario::parse("(proof)", &rough(3)) else { return };
+    let tasks: Vec<Task<'_>> =
+        (0..8).map(|seed| Task { scenario: &scenario, seed, policy: Policy::Ours }).collect();
+    let on = |threads| {
+        let pool = rayon::ThreadPoolBuilder::new().num_threads(threads).build();
+        let played = pool.map(|p| p.install(|| experiment::play_all(&tasks, "threads")));
+        played.ok().and_then(|p| serde_json::to_string(&p).ok())
+    };
+    let (one, four) = (on(1), on(4));
+    claims.push(Claim::new(
+        "eight seeds on one thread and on four",
+        "the same bytes",
+        one.as_ref().map_or_else(|| "nothing".into(), |o| format!("{} bytes", o.len())),
+        one.is_some() && one == four,
+    ));
+}
+
+fn speed(short: bool, claims: &mut Vec<Claim>) {
+    let shipped = |name: &str| {
+        let path = std::path::Path::new("lab/scenarios").join(name).with_extension("toml");
+        std::fs::read_to_string(path).ok()
+    };
+    let Some(text) = shipped("gallery-calm") else {
+        return claims.push(Claim::new(
+            "shipped scenarios",
+            "found under lab/scenarios",
+            "not found",
+            false,
+        ));
+    };
+    let minute = [("length".to_owned(), "\"60s\"".to_owned())];
+    if let Ok(scenario) = Scenario::parse_with("gallery-calm", &text, &minute) {
+        let begun = Instant::now();
+        let played = experiment::play(&scenario, 1, Policy::Ours);
+        let took = begun.elapsed().as_secs_f64();
+        claims.push(Claim::new(
+            "a minute of the gallery on one core",
+            "under 1 s",
+            format!("{took:.2} s, {:.2} million events a second", played.happened as f64 / took / 1e6),
+            took < 1.0,
+        ));
+    }
+    if short {
+        return;
+    }
+    if let Some(scenario) = shipped("wide").and_then(|t| Scenario::parse("wide", &t).ok()) {
+        let begun = Instant::now();
+        let played = experiment::play(&scenario, 1, Policy::Ours);
+        let (took, day) = (begun.elapsed().as_secs_f64(), scenario.length.seconds());
+        claims.push(Claim::new(
+            "200 sidecars, 2,000 servers, 50,000 requests a second, on one core",
+            "none; faster than real time is the aim",
+            format!(
+                "{day:.0} s in {took:.1} s, {:.2} million events a second, {} clients",
+                played.happened as f64 / took / 1e6,
+                played.book.arrived
+            ),
+            true,
+        ));
+    }
+    let hour = [("length".to_owned(), "\"3600s\"".to_owned())];
+    if let Ok(scenario) = Scenario::parse_with("gallery-calm", &text, &hour) {
+        let maker = |settings, seed, now| Policy::Ours.make(settings, seed, now);
+        let mut world = World::new(&scenario, 1, &maker);
+        let (mut most, mut quarter, mut by_quarter) = (0, 0, Vec::new());
+        while world.step() {
+            most = most.max(world.held().iter().sum::<usize>());
+            if world.now() >= (quarter + 1) * 900_000_000_000 && quarter < 4 {
+                by_quarter.push(std::mem::take(&mut most));
+                quarter += 1;
+            }
+        }
+        let flat = by_quarter.len() == 4 && by_quarter[3] <= by_quarter[0] * 2;
+        claims.push(Claim::new(
+            "things held in memory over a simulated hour, most by quarters",
+            "the last quarter no more than twice the first",
+            format!("{by_quarter:?}"),
+            flat,
+        ));
+    }
+}
+
+/// Closed forms, conservation, rule checkers, threads, speed, memory.
+pub fn prove(short: bool) -> Vec<Claim> {
+    let mut claims = Vec::new();
+    closed_forms(short, &mut claims);
+    conservation(short, &mut claims);
+    rule_checkers(&mut claims);
+    same_on_all_threads(&mut claims);
+    speed(short, &mut claims);
+    claims
+}
--- /dev/null
+++ b/crates/lab/src/prove/mod.rs
@@ -0,0 +1,60 @@
+//! Proofs: the one command behind every claim. Each runs what a subsystem must show and says for each claim what
+//! was measured, against which bound, and whether it is kept.
+
+pub mod lab;
+
+use comfy_table::Table;
+use serde::Serialize;
+
+/// One claim with its measurement.
+#[derive(Clone, Debug, Serialize)]
+pub struct Claim {
+    /// What is claimed.
+    pub claim: String,
+    /// The bound that it must keep, in words.
+    pub bound: String,
+    /// What was measured, in words.
+    pub measured: String,
+    /// Whether the bound is kept.
+    pub kept: bool,
+}
+
+impl Claim {
+    /// A claim with its measurement.
+    pub fn new(
+        claim: impl Into<String>,
+        bound: impl Into<String>,
+        measured: impl Into<String>,
+        kept: bool,
+    ) -> Claim {
+        Claim { claim: claim.into(), bound: bound.into(), measured: measured.into(), kept }
+    }
+}
+
+/// A proof: its name, what it shows, and how; the argument asks for the short form.
+pub struct Proof {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// What it shows.
+    pub about: &'static str,
+    /// Runs it. The short form ends within 30 s.
+    pub run: fn(short: bool) -> Vec<Claim>,
+}
+
+/// All proofs.
+pub const PROOFS: [Proof; 1] = [Proof {
+    name: "lab",
+    about: "closed forms, conservation, rule checkers, same results on one and four threads, speed, memory",
+    run: lab::prove,
+}];
+
+/// The claims as a table.
+pub fn table(claims: &[Claim]) -> Table {
+    let mut table = Table::new();
+    table.load_style(comfy_table::presets::ASCII_MARKDOWN);
+    table.set_header(["claim", "bound", "measured", "kept"]);
+    for c in claims {
+        table.add_row([c.claim.as_str(), &c.bound, &c.measured, if c.kept { "yes" } else { "NO" }]);
+    }
+    table
+}
--- /dev/null
+++ b/crates/lab/src/store.rs
@@ -0,0 +1,100 @@
+//! Results that are kept: one row a run in `lab/results/runs.jsonl`, so that versions of the code can be compared
+//! later. A row is known by the code's version, the scenario's digest, the policy and the seed; a run that is
+//! played again replaces its row.
+
+use crate::experiment::Outcome;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The text of the decision module that this program was built with.
+const POLICY: [&str; 6] = [
+    include_str!("../../decide/src/policy/mod.rs"),
+    include_str!("../../decide/src/policy/levels.rs"),
+    include_str!("../../decide/src/policy/limit.rs"),
+    include_str!("../../decide/src/policy/targets.rs"),
+    include_str!("../../decide/src/policy/attempts.rs"),
+    include_str!("../../decide/src/policy/timers.rs"),
+];
+
+/// The version of the code: the package's, and a digest of the decision module's text.
+pub fn version() -> String {
+    format!("{}-{:08x}", env!("CARGO_PKG_VERSION"), xxh3_64(POLICY.concat().as_bytes()) as u32)
+}
+
+/// What names a run.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Name {
+    /// The version of the code.
+    pub code: String,
+    /// The scenario's name.
+    pub scenario: String,
+    /// The digest of its text, in hexadecimal.
+    pub digest: String,
+    /// The policy.
+    pub policy: String,
+    /// The seed.
+    pub seed: u64,
+}
+
+/// A kept run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// What names it.
+    #[serde(flatten)]
+    pub name: Name,
+    /// What came of it.
+    #[serde(flatten)]
+    pub outcome: Outcome,
+}
+
+/// The kept runs of a folder.
+#[derive(Debug)]
+pub struct Store {
+    path: PathBuf,
+    rows: BTreeMap<Name, Outcome>,
+}
+
+impl Store {
+    /// Reads the kept runs; a folder that does not exist holds none. A line that cannot be read is an error that
+    /// names the file and the line.
+    pub fn open(folder: &Path) -> io::Result<Store> {
+        let path = folder.join("runs.jsonl");
+        let text = match fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => String::new(),
+            Err(e) => return Err(e),
+        };
+        let mut rows = BTreeMap::new();
+        for (i, line) in text.lines().enumerate() {
+            let row: Row = serde_json::from_str(line)
+                .map_err(|e| io::Error::other(format!("{}:{}: {e}", path.display(), i + 1)))?;
+            rows.insert(row.name, row.outcome);
+        }
+        Ok(Store { path, rows })
+    }
+
+    /// Keeps runs; those of the same name are replaced. The file is replaced whole or not at all.
+    pub fn keep(&mut self, rows: impl IntoIterator<Item = Row>) -> io::Result<()> {
+        self.rows.extend(rows.into_iter().map(|r| (r.name, r.outcome)));
+        if let Some(folder) = self.path.parent() {
+            fs::create_dir_all(folder)?;
+        }
+        let mut text = String::new();
+        for row in self.rows() {
+            text += &serde_json::to_string(&row)?;
+            text.push('\n');
+        }
+        let next = self.path.with_extension("next");
+        fs::write(&next, text)?;
+        fs::rename(next, &self.path)
+    }
+
+    /// All kept runs, in the order of their names.
+    pub fn rows(&self) -> impl Iterator<Item = Row> + '_ {
+        self.rows.iter().map(|(name, outcome)| Row { name: name.clone(), outcome: outcome.clone() })
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/fleet.rs
@@ -0,0 +1,150 @@
+//! The fleet as a seed draws it, and what each tier's deciders are told of it.
+
+use super::Drawn;
+use super::server::{Build, Crowding, Server};
+use crate::draw::Draw;
+use crate::scenario::{Effect, Kind, Scenario};
+use cottonpoint_decide as decide;
+
+/// Draws the servers of all tiers and the figures of the day.
+pub(super) fn draw(s: &Scenario, draw: &mut Draw) -> (Vec<Server>, Drawn) {
+    let class_weights: Vec<f64> = s.classes.iter().map(|c| draw.span(c.share)).collect();
+    let class_work: Vec<f64> = s.classes.iter().map(|c| draw.length(c.work) as f64 / 1e9).collect();
+    let class_cv: Vec<f64> = s.classes.iter().map(|c| draw.span(c.cv)).collect();
+    let class_noise: Vec<f64> = s.classes.iter().map(|c| draw.span(c.noise)).collect();
+    let total: f64 = class_weights.iter().sum::<f64>().max(1e-9);
+    let mean_work: f64 = class_weights.iter().zip(&class_work).map(|(w, x)| w / total * x).sum();
+    let mut servers = Vec::new();
+    let mut calls = Vec::new();
+    let mut report = Vec::new();
+    // Requests of a tier for each request of a client, and what the tier that runs out first can do.
+    let (mut requests, mut most) = (1.0, f64::INFINITY);
+    for (t, tier) in s.tiers.iter().enumerate() {
+        let count = draw.span(tier.servers).round().max(1.0) as usize;
+        let weights: Vec<f64> = tier.kinds.iter().map(|k| draw.span(k.share)).collect();
+        let speeds: Vec<f64> = tier.kinds.iter().map(|k| draw.span(k.speed)).collect();
+        let figures: Vec<Build> =
+            tier.kinds.iter().enumerate().map(|(k, kind)| build(t, k, kind, draw)).collect();
+        let mut capacity = 0.0;
+        for i in 0..count {
+            let k = share_of(&weights, (i as f64 + 0.5) / count as f64);
+            let cv = draw.span(tier.kinds[k].speed_cv);
+            let mut build = figures[k].clone();
+            build.speed = speeds[k] * draw.around_one(cv);
+            build.connections = (tier.connections.cap * build.cores).max(1.0) as usize;
+            build.full_tax = tier.connections.full_tax;
+            build.choke = tier.choke.as_ref().map(|c| Crowding::draw(c, draw));
+            capacity += build.cores * build.speed;
+            servers.push(Server::new(build, None, 0));
+        }
+        let each = draw.span(tier.calls);
+        most = most.min(capacity / (mean_work * tier.work * requests).max(1e-12));
+        requests *= each;
+        calls.push(each);
+        report.push(tier.report.map(|r| (draw.length(r.period), draw.length(r.delay), draw.span(r.noise))));
+    }
+    let rate = s.load.rate.unwrap_or_else(|| draw.span(s.load.of_capacity.unwrap_or_default()) * most);
+    let quota = draw.span(s.load.quota);
+    let usage: Vec<f64> = s.tenants.iter().map(|t| t.share * draw.span(t.usage)).collect();
+    let settings = (0..s.tiers.len()).map(|t| settings(s, t, quota * most)).collect();
+    let drawn = Drawn {
+        settings,
+        class_weights,
+        class_work,
+        class_cv,
+        class_noise,
+        tenant_weights: usage,
+        try_share: draw.span(s.clients.try_share),
+        rate,
+        calls,
+        report,
+    };
+    (servers, drawn)
+}
+
+/// The index of the weight that a share of their sum falls into.
+pub(super) fn share_of(weights: &[f64], share: f64) -> usize {
+    let mut left = share * weights.iter().sum::<f64>();
+    for (i, w) in weights.iter().enumerate() {
+        left -= w;
+        if left < 0.0 {
+            return i;
+        }
+    }
+    weights.len().saturating_sub(1)
+}
+
+fn build(tier: usize, number: usize, kind: &Kind, draw: &mut Draw) -> Build {
+    let cores = f64::from(kind.cores);
+    Build {
+        tier,
+        kind: number,
+        cores,
+        speed: 1.0,
+        slots: ((draw.span(kind.slots) * cores).round() as usize).max(1),
+        room: (draw.span(kind.queue) * cores).round() as usize,
+        thrash: draw.span(kind.thrash),
+        thrash_at: draw.span(kind.thrash_at),
+        cold_from: draw.span(kind.cold_from),
+        cold_for: draw.length(kind.cold_for) as f64 / 1e9,
+        error_rate: draw.span(kind.error_rate),
+        stops_running: kind.stops_running,
+        connections: 1,
+        full_tax: 0.0,
+        choke: None,
+    }
+}
+
+/// What the deciders of a tier are told at their start. The coldest and slowest start stated for any of the
+/// tier's kinds is the obligation, as on the platform: the truth of a day is drawn and not told.
+fn settings(s: &Scenario, tier: usize, quota: f64) -> decide::Settings {
+    let kinds = &s.tiers[tier].kinds;
+    let cold_from = kinds.iter().map(|k| k.cold_from.from).fold(1.0, f64::min);
+    let warm_after = kinds.iter().map(|k| k.cold_for.to).max().unwrap_or_default();
+    let class = |c: &crate::scenario::Class| decide::Class {
+        aim: c.aim.duration(),
+        aim_stretch: 0.0,
+        give_up: c.give_up.duration(),
+        worth: c.worth,
+        late_worth: c.late_worth,
+        effect: match c.effect {
+            Effect::Safe => decide::Effect::Safe,
+            Effect::Keyed => {
+                decide::Effect::Keyed { scope: decide::Scope::All, window: c.window.duration() }
+            }
+            Effect::Unsafe => decide::Effect::Unsafe,
+        },
+    };
+    let over = s.tenants.iter().map(|t| t.over_share_worth).fold(1.0, f64::min);
+    decide::Settings {
+        me: 0,
+        siblings: 1,
+        zone: decide::ZoneId(0),
+        from_clients: tier == 0,
+        classes: s.classes.iter().map(class).collect(),
+        tenants: s.tenants.iter().map(|t| decide::Tenant { quota_per_s: t.share * quota }).collect(),
+        over_quota_worth: over,
+        discovery: match s.discovery.asked {
+            true => decide::Discovery::OnRequest { ask_within: s.rules.ask_within.duration() },
+            false => decide::Discovery::Pushed,
+        },
+        reporting: match s.tiers[tier].report {
+            Some(_) => decide::Reporting::WithAnswers,
+            None => decide::Reporting::Never,
+        },
+        limits: decide::Limits {
+            max_attempts: s.rules.max_attempts,
+            may_duplicate: s.rules.may_duplicate,
+            may_cancel: s.rules.may_cancel,
+            may_probe: false,
+            max_retry_after: Some(s.clients.max_retry_after.duration()),
+        },
+        obligations: decide::Obligations {
+            cold_from,
+            warm_after: warm_after.duration(),
+            fall_multiple: s.rules.fall_multiple,
+            fall_after: s.rules.fall_after.duration(),
+        },
+        cross_zone_price: 0.0,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/rules.rs
@@ -0,0 +1,126 @@
+//! The rules, checked at each step of every flow, by what passes between sidecars and the world.
+
+use super::server::Nanos;
+use crate::scenario::{Effect, Scenario};
+use serde::Serialize;
+use std::fmt;
+
+/// Breaches that are kept with their cause; all are counted.
+const KEPT: usize = 50;
+
+/// A rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// One final answer for each flow before its due.
+    OneAnswer,
+    /// What may have run goes out again only if its class allows; refusals promise that trying again is safe.
+    NoRepeat,
+    /// One attempt of a flow is out at a time.
+    OneOut,
+    /// Nothing new goes to a draining or gone server after the grace.
+    Drains,
+    /// No cold server is pushed over.
+    Cold,
+}
+
+impl Rule {
+    /// All rules, in the order in which breaches are counted.
+    pub const ALL: [Rule; 5] = [Rule::OneAnswer, Rule::NoRepeat, Rule::OneOut, Rule::Drains, Rule::Cold];
+}
+
+/// A breach of a rule.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Breach {
+    /// Which one.
+    pub rule: Rule,
+    /// When, in nanoseconds since the start of the day.
+    pub at: Nanos,
+    /// What happened.
+    pub cause: String,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.6} s: {:?}: {}", self.at as f64 / 1e9, self.rule, self.cause)
+    }
+}
+
+/// The checker: what each class allows, and what was broken so far.
+pub(super) struct Rules {
+    effects: Vec<(Effect, Nanos)>,
+    may_duplicate: bool,
+    grace: Nanos,
+    pub(super) breaches: Vec<Breach>,
+    pub(super) count: [u64; 5],
+}
+
+/// One earlier attempt, as the rule on repeats sees it: when it went out, and whether it is proven never to have
+/// run; `None` while it is out.
+pub(super) type Earlier = (Nanos, Option<bool>);
+
+impl Rules {
+    pub(super) fn new(scenario: &Scenario) -> Rules {
+        Rules {
+            effects: scenario.classes.iter().map(|c| (c.effect, c.window.0)).collect(),
+            may_duplicate: scenario.rules.may_duplicate,
+            grace: scenario.rules.drain_grace.0,
+            breaches: Vec::new(),
+            count: [0; 5],
+        }
+    }
+
+    pub(super) fn breach(&mut self, rule: Rule, at: Nanos, cause: impl FnOnce() -> String) {
+        let place = Rule::ALL.iter().position(|r| *r == rule).unwrap_or(0);
+        self.count[place] += 1;
+        if self.breaches.len() < KEPT {
+            self.breaches.push(Breach { rule, at, cause: cause() });
+        }
+    }
+
+    /// A further attempt of a flow goes out.
+    pub(super) fn sends(&mut self, now: Nanos, class: u16, answered: bool, earlier: &[Earlier]) {
+        if answered {
+            self.breach(Rule::OneAnswer, now, || "an attempt went out after the final answer".into());
+        }
+        if !self.may_duplicate && earlier.iter().any(|e| e.1.is_none()) {
+            self.breach(Rule::OneOut, now, || "a second attempt went out beside one that is out".into());
+        }
+        let first = earlier.iter().filter(|e| e.1 != Some(true)).map(|e| e.0).min();
+        match (self.effects.get(usize::from(class)), first) {
+            (Some((Effect::Unsafe, _)), Some(_)) => {
+                self.breach(Rule::NoRepeat, now, || {
+                    "what may have run and must not repeat was sent again".into()
+                });
+            }
+            (Some(&(Effect::Keyed, window)), Some(first)) if now.saturating_sub(first) > window => {
+                let age = (now - first) as f64 / 1e9;
+                self.breach(Rule::NoRepeat, now, || {
+                    format!("a key was sent again {age:.3} s after its first send")
+                });
+            }
+            _ => {}
+        }
+    }
+
+    /// A flow is refused.
+    pub(super) fn refuses(&mut self, now: Nanos, class: u16, earlier: &[Earlier]) {
+        let ran = earlier.iter().any(|e| e.1 != Some(true));
+        if ran && matches!(self.effects.get(usize::from(class)), Some((Effect::Unsafe, _))) {
+            self.breach(Rule::NoRepeat, now, || {
+                "what may have run was refused as if trying again were safe".into()
+            });
+        }
+    }
+
+    /// An attempt goes to a server that the sidecar was told drains or is gone.
+    pub(super) fn sends_to_told(&mut self, now: Nanos, told: Nanos, server: u32) {
+        let late = now.saturating_sub(told);
+        if late > self.grace {
+            let late = late as f64 / 1e6;
+            self.breach(Rule::Drains, now, || {
+                format!("server {server} got new work {late:.0} ms after the word")
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/emulator.rs
@@ -0,0 +1,152 @@
+//! The emulator: what it must never do, whatever happens on a day.
+#![allow(missing_docs)]
+
+use cottonpoint_lab::experiment::{compare, play, rank_correlation};
+use cottonpoint_lab::policies::Policy;
+use cottonpoint_lab::prove::lab::{breaches, conserve};
+use cottonpoint_lab::scenario::Scenario;
+use cottonpoint_lab::world::{Rule, World};
+use proptest::prelude::*;
+
+fn policy(name: &str) -> Policy {
+    name.parse().expect("a known policy")
+}
+
+fn scenario(text: &str) -> Scenario {
+    Scenario::parse("(test)", text).unwrap_or_else(|e| panic!("{e}"))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against: requests or work lost or made up, under every trouble and any policy.
+    #[test]
+    fn requests_and_work_are_conserved(seed in 0_u64..10_000, which in 0_usize..4) {
+        let policy = policy(["ours", "p2c+gradient", "wrr+aimd+budget", "top"][which]);
+        let (events, audits, wrong) = conserve(seed, policy, 200);
+        prop_assert_eq!(wrong, None);
+        prop_assert!(events > 1000 && audits > 5);
+    }
+}
+
+/// Guards against: a checker that sees nothing, and one that blames everybody.
+#[test]
+fn each_checker_sees_its_rule_broken_and_no_other_policy_is_blamed() {
+    for (i, rule) in Rule::ALL.into_iter().enumerate() {
+        assert!(breaches(Some(rule))[i] > 0, "{rule:?}");
+    }
+    assert_eq!(breaches(None), [0; 5]);
+}
+
+/// One server, no network, fixed work: times are exact.
+fn exact(work: &str, give_up: &str) -> String {
+    format!(
+        r#"
+name = "exact"
+about = "Exact times."
+length = "20s"
+[network]
+one_way = "0s"
+client = "0s"
+jitter = 0.0
+[discovery]
+asked = false
+[rules]
+answer_slack = "0s"
+[clients]
+retries = 0
+impatient = 0.0
+try_share = 1.0
+[load]
+rate = 50
+[[class]]
+name = "only"
+share = 1
+work = "{work}"
+law = "fixed"
+aim = "{give_up}"
+give_up = "{give_up}"
+worth = 1
+[[tier]]
+name = "only"
+servers = 1
+sidecars = 1
+[tier.connections]
+handshake_work = "0s"
+handshake_trips = 0.0
+full_tax = 0.0
+[[tier.kind]]
+name = "wide"
+cores = 100
+slots = 1
+"#
+    )
+}
+
+/// Guards against: an undefined order of what happens in the same nanosecond.
+#[test]
+fn an_answer_at_the_very_nanosecond_of_giving_up_is_in_time() {
+    let at = |work: &str| play(&scenario(&exact(work, "10ms")), 1, policy("round-robin")).book;
+    let in_time = at("10ms");
+    assert!(in_time.arrived > 500);
+    assert_eq!((in_time.served, in_time.failed + in_time.refused), (in_time.arrived, 0));
+    let too_late = at("10000001ns");
+    assert_eq!(too_late.served, 0, "one nanosecond later it is not");
+}
+
+/// Guards against: calls of lower tiers that outlive, or are lost with, the server that made them.
+#[test]
+fn a_server_that_dies_with_calls_in_three_tiers_leaves_nothing_behind() {
+    let tier = |name: &str, more: &str| {
+        format!(
+            "[[tier]]\nname = \"{name}\"\nservers = 4\nwork = 0.3\n{more}[[tier.kind]]\nname = \"plain\"\n"
+        )
+    };
+    let dies = |tier: u32, at: u32| {
+        format!("[[trouble]]\nwhat = \"die\"\ntier = {tier}\npart = 0.5\nat = \"{at}ms\"\nfor = \"2s\"\n")
+    };
+    let day = exact("200ms", "2s").split("[[tier]]").next().unwrap_or_default().to_owned()
+        + &tier("front", "sidecars = 2\ncalls = 2\n")
+        + &tier("middle", "calls = 2\n")
+        + &tier("back", "")
+        + &dies(0, 3000)
+        + &dies(1, 5000)
+        + &dies(2, 7000);
+    let scenario = scenario(&day);
+    let maker = |settings, seed, now| policy("p2c").make(settings, seed, now);
+    let mut world = World::new(&scenario, 5, &maker);
+    while world.step() {}
+    world.audit().expect("all accounted for");
+    assert_eq!(world.held()[1..], [0, 0, 0], "flows, requests at servers, clients");
+    let book = world.into_played().book;
+    assert!(book.outcomes[0][5] > 0 && book.outcomes[1][5] > 0, "connections were reset in two tiers");
+}
+
+/// Guards against: policies that meet different days, and days that differ from run to run.
+#[test]
+fn a_seed_is_the_same_day_for_every_policy_and_every_time() {
+    let text = std::fs::read_to_string("../../lab/scenarios/gallery-deploy.toml").expect("it is shipped");
+    let scenario = scenario(&text);
+    let ours = || play(&scenario, 3, Policy::Ours);
+    let (first, second, rival) = (ours(), ours(), play(&scenario, 3, policy("random")));
+    assert_eq!(first.book.figures(), second.book.figures());
+    assert_eq!(first.happened, second.happened);
+    assert_eq!(first.book.arrived, rival.book.arrived);
+    assert_eq!(first.book.offered_work, rival.book.offered_work);
+    assert_ne!(first.book.figures(), rival.book.figures());
+}
+
+/// Guards against: statistics that see a difference where there is none, or none where there is one.
+#[test]
+fn comparisons_and_ranks_are_as_worked_by_hand() {
+    let same: Vec<(f64, f64)> = (0..40).map(|i| (f64::from(i % 7), f64::from((i + 3) % 7))).collect();
+    assert!(!compare(&same).says_something);
+    let more: Vec<(f64, f64)> = same.iter().map(|p| (p.1 + 0.1, p.1)).collect();
+    let c = compare(&more);
+    assert!(c.says_something && (c.difference - 0.1).abs() < 1e-9 && c.wins == 1.0);
+    assert_eq!(rank_correlation(&[1.0, 2.0, 3.0], &[10.0, 20.0, 30.0]), 1.0);
+    assert_eq!(rank_correlation(&[1.0, 2.0, 3.0], &[3.0, 2.0, 1.0]), -1.0);
+    // Ranks 1, 2.5, 2.5, 4 against 1, 2, 3, 4: covariance 4.5, variances 4.5 and 5.
+    let tied = rank_correlation(&[1.0, 2.0, 2.0, 4.0], &[1.0, 2.0, 3.0, 4.0]);
+    assert!((tied - 4.5 / f64::sqrt(4.5 * 5.0)).abs() < 1e-12);
+}
