Add the operator's file, tracing logs, metrics, and up: the whole rig on loopback

Need: new subsystems must be switched on somewhere, watched by somebody and tried by a newcomer in one command.

Targets' identities are hashed with XXH3.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -32,6 +32,7 @@
         let entry = Entry { steps: sender, forwards: Vec::new(), closed: false };
         self.core.borrow_mut().flows.insert(id, entry);
         let call = Call { id, class: new.class, tenant: new.tenant, due: new.due, cost: None };
+        self.counts.admit();
         self.feed(Event::Arrived(call));
         Flow { sidecar: self.clone(), id, steps }
     }
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -50,6 +50,7 @@
 
     fn finish(&mut self, outcome: Outcome, report: Option<LoadReport>) -> bool {
         self.booked = true;
+        self.sidecar.counts.book(outcome);
         let was_closed = {
             let mut core = self.sidecar.core.borrow_mut();
             match core.flows.get_mut(&self.flow) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,12 +7,14 @@
 mod admit;
 mod book;
 mod clock;
+mod counts;
 mod route;
 mod targets;
 
 pub use admit::{Flow, NewFlow};
 pub use book::Forward;
 pub use clock::Clock;
+pub use counts::{Counts, OUTCOMES};
 pub use route::{FixedResponse, Halt, Step};
 pub use targets::{Group, Lifecycle, Listed, Target, target_id};
 
@@ -51,6 +53,7 @@
     executor: Executor,
     next_flow: Cell<u64>,
     subscribe: Sender<()>,
+    counts: Counts,
 }
 
 impl Sidecar {
@@ -68,7 +71,14 @@
             group: Group::default(),
             actions: Vec::new(),
         };
-        let sidecar = Sidecar { core: core.into(), clock, executor, next_flow: Cell::new(1), subscribe };
+        let sidecar = Sidecar {
+            core: core.into(),
+            clock,
+            executor,
+            next_flow: Cell::new(1),
+            subscribe,
+            counts: Counts::default(),
+        };
         (Rc::new(sidecar), subscriptions)
     }
 
@@ -77,6 +87,16 @@
         &self.clock
     }
 
+    /// What it has counted since its start.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// Targets that are listed and take new work.
+    pub fn targets_that_take_work(&self) -> usize {
+        self.core.borrow().group.that_take_work()
+    }
+
     /// Whether the list names any target, of whatever lifecycle.
     pub fn has_targets(&self) -> bool {
         !self.core.borrow().group.is_empty()
@@ -102,11 +122,13 @@
             }
             endpoints
         };
+        self.counts.list(true);
         self.feed(Event::Endpoints { kind, entries: &endpoints });
     }
 
     /// Tells the balancer that the list could not be had; the one held stays valid.
     pub fn list_failed(self: &Rc<Self>) {
+        self.counts.list(false);
         self.feed(Event::DiscoveryFailed);
     }
 
@@ -127,15 +149,21 @@
         core.actions = actions;
     }
 
+    fn answer(&self, core: &mut Core, id: RequestId, response: FixedResponse) {
+        if route::answer(core, id, response) {
+            self.counts.answer(response);
+        }
+    }
+
     fn carry_out(self: &Rc<Self>, core: &mut Core, action: Action) -> Option<Event<'static>> {
         match action {
             Action::Send { id, endpoint, until } => {
                 return route::forward(self, core, id, endpoint, until);
             }
             Action::Refuse { id, retry_after } => {
-                route::answer(core, id, FixedResponse::Refused { retry_after });
+                self.answer(core, id, FixedResponse::Refused { retry_after });
             }
-            Action::Fail { id } => route::answer(core, id, FixedResponse::Failed),
+            Action::Fail { id } => self.answer(core, id, FixedResponse::Failed),
             Action::Cancel { id, attempt } => {
                 let entry = core.flows.get(&id);
                 if let Some((halt, _)) = entry.and_then(|e| e.forwards.get(usize::from(attempt))) {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -50,6 +50,7 @@
         {
             let _ = entry.steps.try_send(Step::Over);
             drop(core);
+            self.sidecar.counts.depart();
             self.sidecar.feed(Event::Departed { id: self.id });
         }
     }
@@ -83,11 +84,11 @@
     None
 }
 
-/// Queues a final answer, unless the flow has had one.
-pub(super) fn answer(core: &mut Core, id: RequestId, response: FixedResponse) {
-    if let Some(entry) = core.flows.get_mut(&id)
-        && !std::mem::replace(&mut entry.closed, true)
-    {
-        let _ = entry.steps.try_send(Step::Answer(response));
-    }
+/// Queues a final answer, unless the flow has had one; whether it did.
+pub(super) fn answer(core: &mut Core, id: RequestId, response: FixedResponse) -> bool {
+    let open = core.flows.get_mut(&id).filter(|entry| !entry.closed);
+    open.is_some_and(|entry| {
+        entry.closed = true;
+        entry.steps.try_send(Step::Answer(response)).is_ok()
+    })
 }
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -3,6 +3,7 @@
 use cottonpoint_decide::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A target as a forward needs it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,10 +45,9 @@
 }
 
 /// The identity of a target by its name, the same at every sidecar: the balancer orders targets by it, so
-/// that sidecars spread over them (64-bit FNV-1a).
+/// that sidecars spread over them (XXH3, 64 bits).
 pub fn target_id(name: &str) -> EndpointId {
-    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    EndpointId(name.bytes().fold(0xcbf2_9ce4_8422_2325, mix))
+    EndpointId(xxh3_64(name.as_bytes()))
 }
 
 /// The target group as last told.
@@ -67,6 +67,11 @@
         self.targets.get(&id).is_some_and(|t| t.1 == Lifecycle::Active)
     }
 
+    /// Targets that may be sent new work.
+    pub fn that_take_work(&self) -> usize {
+        self.targets.values().filter(|t| t.1 == Lifecycle::Active).count()
+    }
+
     /// The target of that identity.
     pub fn find(&self, id: EndpointId) -> Option<Target> {
         self.targets.get(&id).map(|&(address, _)| Target { id, address })
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod draw;
 pub mod experiment;
+pub mod live;
 pub mod policies;
 pub mod prove;
 pub mod report;
--- /dev/null
+++ b/crates/lab/src/live/discovery.rs
@@ -0,0 +1,124 @@
+//! A stand-in for discovery: the whole list, and watches that wait for something newer.
+
+use super::{Executor, within};
+use async_io::{Async, Timer};
+use cottonpoint_codec::buffer::Buffer;
+use cottonpoint_codec::http;
+use event_listener::Event;
+use futures_lite::{AsyncWriteExt, future};
+use serde::Serialize;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+const LONGEST_HOLD: Duration = Duration::from_secs(60);
+
+/// One line of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Line {
+    /// Its identity.
+    pub instance_id: String,
+    /// Where it listens.
+    pub host_port: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its machine kind.
+    pub machine_type: String,
+    /// Its cell.
+    pub cell: u16,
+    /// `active`, `leaving` or, among changes, `left`.
+    pub lifecycle: &'static str,
+    /// When its process last started, as Unix time in milliseconds; 0 for long ago.
+    pub started_at_ms: u64,
+}
+
+#[derive(Serialize)]
+struct Answer<'a> {
+    generation: u64,
+    reset: bool,
+    instances: Vec<&'a Line>,
+}
+
+/// The stand-in: its list, and where it listens.
+pub struct Discovery {
+    /// Where it listens.
+    pub address: SocketAddr,
+    generation: Cell<u64>,
+    /// Each line with the version in which it last changed; `left` ones stay as such.
+    lines: RefCell<BTreeMap<String, (u64, Line)>>,
+    news: Event,
+}
+
+impl Discovery {
+    /// Listens on a port of loopback, with an empty list.
+    pub fn start(executor: &Executor) -> io::Result<Rc<Discovery>> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let this = Rc::new(Discovery {
+            address: listener.local_addr()?,
+            generation: Cell::new(0),
+            lines: RefCell::default(),
+            news: Event::new(),
+        });
+        let (listener, discovery, own) = (Async::new(listener)?, this.clone(), executor.clone());
+        let accept = async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let discovery = discovery.clone();
+                own.spawn(async move { discovery.connection(stream).await }).detach();
+            }
+        };
+        executor.spawn(accept).detach();
+        Ok(this)
+    }
+
+    /// Changes a line; those who watch are told.
+    pub fn list(&self, line: Line) {
+        let generation = self.generation.get() + 1;
+        self.generation.set(generation);
+        self.lines.borrow_mut().insert(line.instance_id.clone(), (generation, line));
+        self.news.notify(usize::MAX);
+    }
+
+    /// Its answer to a call, for what is newer than a version or for the whole list.
+    pub fn answer(&self, from: Option<u64>) -> serde_json::Result<Vec<u8>> {
+        let lines = self.lines.borrow();
+        let wanted = |(changed, line): &&(u64, Line)| match from {
+            Some(from) => *changed > from,
+            None => line.lifecycle != "left",
+        };
+        let instances = lines.values().filter(wanted).map(|(_, line)| line).collect();
+        let answer = Answer { generation: self.generation.get(), reset: from.is_none(), instances };
+        serde_json::to_vec(&answer)
+    }
+
+    async fn connection(&self, stream: Async<TcpStream>) {
+        let _ = stream.get_ref().set_nodelay(true);
+        let mut buffer = Buffer::default();
+        let mut reader = &stream;
+        while let Ok(Some(head)) = http::read_head(&mut buffer, &mut reader, http::begins_request).await {
+            let query = head.line[1].split_once('?').map_or("", |(_, query)| query);
+            let figure = |name: &str| {
+                let value = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+                value.and_then(|v| v.parse::<u64>().ok())
+            };
+            let from = figure("from");
+            let hold = Duration::from_millis(figure("hold_ms").unwrap_or(0)).min(LONGEST_HOLD);
+            let news = self.news.listen();
+            if from == Some(self.generation.get()) {
+                future::or(news, async {
+                    Timer::after(hold).await;
+                })
+                .await;
+            }
+            let Ok(body) = self.answer(from) else { return };
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            let bytes = [head.into_bytes(), body].concat();
+            if within(Duration::from_secs(5), (&stream).write_all(&bytes)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -116,6 +116,21 @@
         #[bpaf(external)]
         form: Form,
     },
+    /// Start the program with stand-ins for all its peers on loopback, and show what happens
+    #[bpaf(command)]
+    Up {
+        /// Stop after this time, such as 20s; on Ctrl-C otherwise
+        #[bpaf(long("for"), argument("TIME"), optional)]
+        length: Option<humantime::Duration>,
+        /// Requests a second
+        #[bpaf(long, argument("N"), fallback(150.0), display_fallback)]
+        rate: f64,
+        #[bpaf(external)]
+        form: Form,
+    },
+    /// The program itself, as `up` starts it
+    #[bpaf(command, hide)]
+    Program(#[bpaf(external(program_command))] cottonpoint::cli::Command),
     /// List the scenarios under lab/scenarios, each checked
     #[bpaf(command)]
     Scenarios,
@@ -178,6 +193,10 @@
     scenario: String,
 }
 
+fn program_command() -> impl Parser<cottonpoint::cli::Command> {
+    cottonpoint::cli::command()
+}
+
 fn set() -> impl Parser<(String, String)> {
     bpaf::long("set")
         .help("Set a key of the scenario anew, such as load.rate=200 or trouble.0.part=0.3")
@@ -197,7 +216,11 @@
 }
 
 fn main() -> ExitCode {
-    match commands::carry_out(command().run()) {
+    let command = match command().run() {
+        Command::Program(command) => return cottonpoint::cli::run(command),
+        command => command,
+    };
+    match commands::carry_out(command) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(2),
         Err(why) => {
--- a/crates/lab/src/world/fleet.rs
+++ b/crates/lab/src/world/fleet.rs
@@ -63,7 +63,7 @@
 }
 
 /// The index of the weight that a share of their sum falls into.
-pub(super) fn share_of(weights: &[f64], share: f64) -> usize {
+pub fn share_of(weights: &[f64], share: f64) -> usize {
     let mut left = share * weights.iter().sum::<f64>();
     for (i, w) in weights.iter().enumerate() {
         left -= w;
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -158,13 +158,13 @@
                     }
                 };
                 if std::mem::take(&mut lost) {
-                    eprintln!("cottonpoint: discovery answers again");
+                    tracing::info!("discovery answers again");
                 }
                 self.sidecar.listed(kind, &listed);
                 self.servers.keep_only(|target| self.sidecar.takes_work(target));
             };
             if !std::mem::replace(&mut lost, true) {
-                eprintln!("cottonpoint: discovery failed, the old list holds: {failure}");
+                tracing::warn!(%failure, "discovery failed, the old list holds");
             }
             while asked.try_recv().is_ok() {}
             self.sidecar.list_failed();
--- a/crates/net/src/servers/mod.rs
+++ b/crates/net/src/servers/mod.rs
@@ -93,6 +93,11 @@
         self.connections.set(connections);
     }
 
+    /// Connections that are open, in use and idle.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
     /// Connections held at most.
     pub fn bound(&self) -> usize {
         self.connections.get()
--- /dev/null
+++ b/crates/program/src/cli.rs
@@ -0,0 +1,133 @@
+//! The program's command line, as a library so that the laboratory can start the very program.
+
+use crate::config::Config;
+use crate::log;
+use crate::operator::Operator;
+use crate::serve::{self, Word};
+use async_signal::{Signal, Signals};
+use bpaf::{Bpaf, OptionParser, Parser, long};
+use futures_lite::StreamExt;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A load-balancing sidecar: it takes a caller's requests, decides which target gets each, and when.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(command))]
+pub enum Command {
+    /// Serve until told to stop by SIGTERM or SIGINT; read the configuration again on SIGHUP
+    #[bpaf(command)]
+    Serve {
+        /// The platform's configuration.
+        #[bpaf(external(file))]
+        config: PathBuf,
+        /// The operator's file, if any.
+        #[bpaf(external(operator_file))]
+        operator: Option<PathBuf>,
+    },
+    /// Read the configuration and the operator's file, say what they come to, and start nothing
+    #[bpaf(command)]
+    Check {
+        /// The platform's configuration.
+        #[bpaf(external(file))]
+        config: PathBuf,
+        /// The operator's file, if any.
+        #[bpaf(external(operator_file))]
+        operator: Option<PathBuf>,
+    },
+    /// The operator's file
+    #[bpaf(command("config"))]
+    OperatorFile(#[bpaf(external(operator_command))] OperatorCommand),
+    /// Print the program's version
+    #[bpaf(command)]
+    Version,
+}
+
+/// What to do with the operator's file.
+#[derive(Clone, Debug, Bpaf)]
+pub enum OperatorCommand {
+    /// Print a commented file with every key, as it holds when left out
+    #[bpaf(command)]
+    Example,
+}
+
+/// The parser of the command line.
+pub fn options() -> OptionParser<Command> {
+    command().to_options().descr(
+        "A load-balancing sidecar: it takes a caller's requests, decides which target gets each, and when.",
+    )
+}
+
+fn file() -> impl Parser<PathBuf> {
+    long("config").env("NODE_CONFIG").help("The platform's configuration, as JSON").argument("FILE")
+}
+
+fn operator_file() -> impl Parser<Option<PathBuf>> {
+    long("operator")
+        .help("The operator's file, as TOML; without it all it speaks of is off")
+        .argument("FILE")
+        .optional()
+}
+
+fn operator(path: Option<PathBuf>) -> Result<Operator, String> {
+    path.map_or_else(|| Ok(Operator::default()), |path| Operator::load(&path).map_err(|e| e.to_string()))
+}
+
+/// Listens; with port 0 the system draws one, so the address is told too.
+fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), String> {
+    let listener = TcpListener::bind(address).and_then(|l| l.local_addr().map(|address| (l, address)));
+    listener.map_err(|e| format!("cannot listen on {address}: {e}"))
+}
+
+fn check(path: PathBuf, operator_path: Option<PathBuf>) -> Result<(), String> {
+    let config = Config::load(&path).map_err(|e| e.to_string())?;
+    println!("{config}\n{}", operator(operator_path)?);
+    Ok(())
+}
+
+fn serve(path: PathBuf, operator_path: Option<PathBuf>) -> Result<(), String> {
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+    let signals = signals.map_err(|e| format!("cannot take signals: {e}"))?;
+    let config = Config::load(&path).map_err(|e| e.to_string())?;
+    let operator = operator(operator_path)?;
+    log::start(&operator.log);
+    let (listener, address) = listen(config.listen)?;
+    let metrics = operator.metrics.listen.map(listen_for_metrics).transpose()?;
+    tracing::info!(name = config.name, listen = %address, "serves");
+    let words = signals.map(move |signal| match signal {
+        Ok(Signal::Hup) => Word::Reload(Config::load(&path).map(Box::new)),
+        _ => Word::Stop,
+    });
+    serve::run(config, listener, metrics, words).map_err(|e| e.to_string())?;
+    tracing::info!("stopped, all answered");
+    Ok(())
+}
+
+fn listen_for_metrics(address: SocketAddr) -> Result<TcpListener, String> {
+    let (listener, address) = listen(address)?;
+    tracing::info!(listen = %address, "serves metrics");
+    Ok(listener)
+}
+
+/// Carries out a command; what it fails on is said in a line on standard error.
+pub fn run(command: Command) -> ExitCode {
+    let done = match command {
+        Command::Serve { config, operator } => serve(config, operator),
+        Command::Check { config, operator } => check(config, operator),
+        Command::OperatorFile(OperatorCommand::Example) => {
+            print!("{}", Operator::example());
+            Ok(())
+        }
+        Command::Version => {
+            println!("cottonpoint {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("cottonpoint: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -4,7 +4,11 @@
 //! interface (`cottonpoint-decide`), the platform's settings, the core (`sidecar`) and what speaks on sockets
 //! (`net`).
 
+pub mod cli;
 pub mod config;
+pub mod log;
+pub mod metrics;
+pub mod operator;
 pub mod serve;
 
 pub use cottonpoint_core as sidecar;
--- /dev/null
+++ b/crates/program/src/metrics.rs
@@ -0,0 +1,122 @@
+//! Metrics: what the core has counted, in the OpenMetrics text format, on a port of the operator's.
+
+use async_io::{Async, Timer};
+use cottonpoint_codec::buffer::Buffer;
+use cottonpoint_codec::http;
+use cottonpoint_core::Sidecar;
+use cottonpoint_net::clients::Clients;
+use cottonpoint_net::servers::Servers;
+use cottonpoint_net::within;
+use futures_lite::{AsyncWriteExt, future};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Who asks has this long, all in all; one is served at a time, so that none holds memory or descriptors.
+const PATIENCE: Duration = Duration::from_secs(2);
+const ACCEPT_AGAIN: Duration = Duration::from_millis(200);
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Label {
+    result: &'static str,
+}
+
+/// What the figures are taken from.
+pub struct Watched {
+    /// The core.
+    pub sidecar: Rc<Sidecar>,
+    /// Client connections.
+    pub clients: Rc<Clients>,
+    /// Connections to targets.
+    pub servers: Rc<Servers>,
+}
+
+impl Watched {
+    /// The page as it stands now.
+    pub fn page(&self) -> String {
+        let counts = self.sidecar.counts();
+        let mut registry = Registry::with_prefix("cottonpoint");
+        let admitted: Counter = Counter::default();
+        admitted.inc_by(counts.admitted());
+        registry.register("flows_admitted", "Flows handed to the balancer", admitted);
+        let family = |of: &mut dyn Iterator<Item = (&'static str, u64)>| {
+            let family = Family::<Label, Counter>::default();
+            for (result, n) in of {
+                family.get_or_create(&Label { result }).inc_by(n);
+            }
+            family
+        };
+        let ended = family(&mut counts.ended().into_iter());
+        registry.register("flows_ended", "Flows that no target's answer ended, by how they ended", ended);
+        let outcomes = counts.forwards().map(|(outcome, n)| (word(outcome), n));
+        let forwards = family(&mut { outcomes });
+        registry.register("forwards", "Forwards to targets, by outcome", forwards);
+        let (told, failed) = counts.lists();
+        let lists = family(&mut [("told", told), ("failed", failed)].into_iter());
+        registry.register("lists", "Lists and changes of discovery, and failures to have them", lists);
+        let gauge = |n: usize| {
+            let gauge: Gauge = Gauge::default();
+            gauge.set(i64::try_from(n).unwrap_or(i64::MAX));
+            gauge
+        };
+        registry.register("client_connections", "Open client connections", gauge(self.clients.open()));
+        registry.register("target_connections", "Open connections to targets", gauge(self.servers.open()));
+        registry.register(
+            "targets",
+            "Targets that take work",
+            gauge(self.sidecar.targets_that_take_work()),
+        );
+        let mut page = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut page, &registry);
+        page
+    }
+
+    /// Answers `GET /metrics`, and everything else with 404, one connection at a time.
+    pub async fn serve(self, listener: TcpListener) -> io::Result<()> {
+        let listener = Async::new(listener)?;
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => drop(within(PATIENCE, self.answer(stream)).await),
+                Err(_) => drop(Timer::after(ACCEPT_AGAIN).await),
+            }
+            future::yield_now().await;
+        }
+    }
+
+    async fn answer(&self, stream: Async<TcpStream>) -> io::Result<()> {
+        let mut buffer = Buffer::default();
+        let mut reader = &stream;
+        let head = http::read_head(&mut buffer, &mut reader, http::begins_request).await;
+        let asked = matches!(head, Ok(Some(head)) if head.line[0] == "GET" && head.line[1] == "/metrics");
+        let (status, body) = if asked { ("200 OK", self.page()) } else { ("404 Not Found", String::new()) };
+        let answer = format!(
+            "HTTP/1.1 {status}\r\nContent-Type: application/openmetrics-text; version=1.0.0; charset=utf-8\r\n\
+             Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+            body.len()
+        );
+        (&stream).write_all(answer.as_bytes()).await?;
+        stream.get_ref().shutdown(std::net::Shutdown::Write)
+    }
+}
+
+fn word(outcome: cottonpoint_decide::Outcome) -> &'static str {
+    use cottonpoint_decide::Outcome;
+    match outcome {
+        Outcome::Ok => "served",
+        Outcome::Error => "error",
+        Outcome::Full => "full",
+        Outcome::TimedOut => "timed_out",
+        Outcome::ConnectFailed => "connect_failed",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::Moot => "moot",
+    }
+}
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -1,6 +1,7 @@
 //! The sidecar as a program: its parts put together, from the first connection to the last.
 
 use crate::config::{BadConfig, Config};
+use crate::metrics::Watched;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use cottonpoint_core::{Clock, Executor, Sidecar};
@@ -29,19 +30,22 @@
     Reload(Result<Box<Config>, BadConfig>),
 }
 
-/// Serves until the word to stop (or the end of all words), then answers what was taken and returns.
+/// Serves until the word to stop (or the end of all words), then answers what was taken and returns. Metrics
+/// are served where a listener for them is given.
 pub fn run(
     config: Config,
     listener: TcpListener,
+    metrics: Option<TcpListener>,
     words: impl Stream<Item = Word> + Unpin + 'static,
 ) -> io::Result<()> {
     let executor: Executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(config, listener, words, executor.clone())))
+    async_io::block_on(executor.run(serve(config, listener, metrics, words, executor.clone())))
 }
 
 async fn serve(
     config: Config,
     listener: TcpListener,
+    metrics: Option<TcpListener>,
     mut words: impl Stream<Item = Word> + Unpin + 'static,
     executor: Executor,
 ) -> io::Result<()> {
@@ -73,10 +77,18 @@
         moved,
     };
     executor.spawn(watcher.run(asked)).detach();
-    let clients =
-        Clients::new(sidecar, servers.clone(), platform, executor.clone(), config.client_connections);
+    let clients = Clients::new(
+        sidecar.clone(),
+        servers.clone(),
+        platform,
+        executor.clone(),
+        config.client_connections,
+    );
     let accept = executor.spawn(clients.clone().accept(Async::new(listener)?));
 
+    let watched = Watched { sidecar, clients: clients.clone(), servers: servers.clone() };
+    let _metrics = metrics.map(|listener| executor.spawn(watched.serve(listener)));
+
     let (stop, stopped) = async_channel::bounded::<()>(1);
     let (mut current, bounded) = (config, clients.clone());
     let heed = executor.spawn(async move {
@@ -90,9 +102,9 @@
                     }
                     bounded.set_bound(config.client_connections);
                     servers.set_bound(config.target_connections);
-                    eprintln!("cottonpoint: {}", current.change_to(*config));
+                    tracing::info!("{}", current.change_to(*config));
                 }
-                Word::Reload(Err(e)) => eprintln!("cottonpoint: the old configuration holds: {e}"),
+                Word::Reload(Err(fault)) => tracing::error!(%fault, "the old configuration holds"),
             }
         }
         drop(stop);
