--- a/crates/decide/src/policy/levels.rs
+++ b/crates/decide/src/policy/levels.rs
@@ -34,8 +34,8 @@
     pub(super) virtual_time: f64,
 }
 
-/// A 64-bit mix (the finaliser of splitmix64). XXH3 in its place deals other hands: no harm in the laboratory but on
-/// deploys (-0.026), and the four quick days of the simulator fall by 0.095.
+/// A 64-bit mix (the finaliser of splitmix64). XXH3 in its place deals other hands: the laboratory sees no
+/// harm but on deploys (-0.026), and the four quick days of the simulator fall by 0.095.
 pub(super) fn mix(x: u64) -> u64 {
     let x = x.wrapping_add(0x9E37_79B9_7F4A_7C15);
     let x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
