Console on a second address, endpoints out by hand, drain by LEAVE, a shared clients' port

The console is a line protocol of its own (crates/net/src/console.rs: parse, bounds, timers) with the calls carried out in crates/program/src/console.rs; it has 32 callers at once, 4.5 s each, and never touches the data path. Taking an endpoint out is an event to the core's target group (crates/core/src/targets.rs), which tells the balancer the target drains and halts sends not begun; the list cannot undo it; ONLINE tells the balancer it is ready as the list last said. Bans are a JSON file in TMPDIR, written whole and renamed, read at start and every 200 ms, so that old and new process agree. Figures count in the core's counts, per class by name, from the stages: fate at the end of a flow, relayed when the last byte of a forward is written. The clients' listener takes SO_REUSEPORT (socket2); a newer process announces its pid in TMPDIR, and an older one told to stop then serves what is queued and closes its listener at once. Not taken: handing the listener over by a Unix socket, which the platform refuses.

Tests: three console stories (figures, bans across a restart of the process, LEAVE/JOIN) and call parsing.

--- a/crates/core/src/counts.rs
+++ b/crates/core/src/counts.rs
@@ -3,7 +3,36 @@
 
 use crate::FixedResponse;
 use cottonpoint_decide::Outcome;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+
+/// Classes counted at most: those that settings name are few, and a class dropped at a reload keeps its
+/// figures; past this many a new name is not counted.
+const CLASSES: usize = 256;
+
+/// How a flow ended for its client, as the figures count it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// A target's answer was passed on.
+    Fulfilled,
+    /// It was refused, so that trying again does no harm.
+    Throttled,
+    /// It failed.
+    Faulted,
+}
+
+/// Figures of one class: flows fulfilled, throttled, faulted, and forwards written whole.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClassCounts {
+    /// Flows that a target's answer ended.
+    pub fulfilled: u64,
+    /// Flows refused.
+    pub throttled: u64,
+    /// Flows failed.
+    pub faulted: u64,
+    /// Forwards written whole to targets.
+    pub relayed: u64,
+}
 
 /// What a core has counted since its start.
 #[derive(Debug, Default)]
@@ -15,6 +44,8 @@
     forwards: [Cell<u64>; Outcome::ALL.len()],
     lists: Cell<u64>,
     list_failures: Cell<u64>,
+    classes: RefCell<BTreeMap<String, ClassCounts>>,
+    configurations: [Cell<u64>; 2],
 }
 
 fn more(count: &Cell<u64>) {
@@ -42,6 +73,47 @@
         more(if told { &self.lists } else { &self.list_failures });
     }
 
+    fn of_class(&self, class: &str, count: impl FnOnce(&mut ClassCounts)) {
+        let mut classes = self.classes.borrow_mut();
+        if let Some(counts) = classes.get_mut(class) {
+            count(counts);
+        } else if classes.len() < CLASSES {
+            count(classes.entry(class.to_owned()).or_default());
+        }
+    }
+
+    /// A flow of that class has had its final answer, or its client has gone.
+    pub fn ended_as(&self, class: &str, fate: Fate) {
+        self.of_class(class, |c| {
+            let n = match fate {
+                Fate::Fulfilled => &mut c.fulfilled,
+                Fate::Throttled => &mut c.throttled,
+                Fate::Faulted => &mut c.faulted,
+            };
+            *n += 1;
+        });
+    }
+
+    /// A forward of that class was written whole to its target.
+    pub fn relayed(&self, class: &str) {
+        self.of_class(class, |c| c.relayed += 1);
+    }
+
+    /// A configuration was read at a reload: taken, or turned down.
+    pub fn configuration(&self, accepted: bool) {
+        more(&self.configurations[usize::from(!accepted)]);
+    }
+
+    /// Configurations taken and turned down at reloads.
+    pub fn configurations(&self) -> (u64, u64) {
+        (self.configurations[0].get(), self.configurations[1].get())
+    }
+
+    /// The figures of each class that has had flows.
+    pub fn classes(&self) -> BTreeMap<String, ClassCounts> {
+        self.classes.borrow().clone()
+    }
+
     /// Flows handed to the balancer.
     pub fn admitted(&self) -> u64 {
         self.admitted.get()
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,9 +14,9 @@
 pub use admit::{Flow, NewFlow};
 pub use book::Forward;
 pub use clock::Clock;
-pub use counts::Counts;
+pub use counts::{ClassCounts, Counts, Fate};
 pub use route::{FixedResponse, Halt, Step};
-pub use targets::{Group, Lifecycle, Listed, Target, target_id};
+pub use targets::{Group, Lifecycle, Listed, NotListed, Target, target_id};
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -126,6 +126,55 @@
         self.feed(Event::Endpoints { kind, entries: &endpoints });
     }
 
+    /// Takes a target out by hand (`out`), or puts it back: nothing new goes to a target taken out, and a send
+    /// to it that has not begun is halted. The balancer hears of it as of a drain and of a return.
+    pub fn set_out(self: &Rc<Self>, id: EndpointId, out: bool) -> Result<(), NotListed> {
+        self.change_out(|group| group.set_out(id, out))
+    }
+
+    /// Takes out a target that an earlier process of this sidecar had taken out, whether listed or not.
+    pub fn restore_out(self: &Rc<Self>, id: EndpointId) {
+        let _ = self.change_out(|group| Ok(group.restore_out(id)));
+    }
+
+    fn change_out(
+        self: &Rc<Self>,
+        change: impl FnOnce(&mut Group) -> Result<Option<Endpoint>, NotListed>,
+    ) -> Result<(), NotListed> {
+        let endpoint = {
+            let mut core = self.core.borrow_mut();
+            let endpoint = change(&mut core.group)?;
+            for entry in core.flows.values() {
+                if let Some((halt, target)) = entry.forwards.last()
+                    && !core.group.takes_work(*target)
+                {
+                    let _ = halt.try_send(Halt::TargetLeft);
+                }
+            }
+            endpoint
+        };
+        if let Some(endpoint) = endpoint {
+            self.feed(Event::Endpoints { kind: ListKind::Delta, entries: &[endpoint] });
+        }
+        Ok(())
+    }
+
+    /// The targets taken out by hand.
+    pub fn taken_out(&self) -> Vec<EndpointId> {
+        self.core.borrow().group.taken_out().collect()
+    }
+
+    /// Targets that the list names, and of them those that get nothing new.
+    pub fn rotation(&self) -> (usize, usize) {
+        let core = self.core.borrow();
+        (core.group.listed(), core.group.out_of_rotation())
+    }
+
+    /// Flows taken and not ended.
+    pub fn open_flows(&self) -> usize {
+        self.core.borrow().flows.len()
+    }
+
     /// Tells the balancer that the list could not be had; the one held stays valid.
     pub fn list_failed(self: &Rc<Self>) {
         self.counts.list(false);
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -1,7 +1,7 @@
 //! The target group: who is in it, by identity, and where each target listens.
 
 use cottonpoint_decide::*;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -50,10 +50,26 @@
     EndpointId(xxh3_64(name.as_bytes()))
 }
 
-/// The target group as last told.
+/// Identities of targets ever listed that are remembered, so that a call to take out one never listed can be
+/// told no; past this many the oldest half is forgotten. Eight times the largest list of the protocol page.
+const REMEMBERED: usize = 4096;
+
+/// Why a target cannot be taken out or put back by hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotListed {
+    /// No list ever named it.
+    Never,
+}
+
+/// The target group as last told, and the targets taken out by hand: the list says who is there, the
+/// operator who of them is left alone. A target taken out stays out, whatever the list says, until it is put
+/// back.
 #[derive(Default)]
 pub struct Group {
-    targets: HashMap<EndpointId, (SocketAddr, Lifecycle)>,
+    targets: HashMap<EndpointId, Listed>,
+    out: HashSet<EndpointId>,
+    ever: VecDeque<EndpointId>,
+    known: HashSet<EndpointId>,
 }
 
 impl Group {
@@ -64,17 +80,81 @@
 
     /// Whether a target may be sent new work.
     pub fn takes_work(&self, id: EndpointId) -> bool {
-        self.targets.get(&id).is_some_and(|t| t.1 == Lifecycle::Active)
+        self.lifecycle(id) == Some(Lifecycle::Active)
     }
 
     /// Targets that may be sent new work.
     pub fn that_take_work(&self) -> usize {
-        self.targets.values().filter(|t| t.1 == Lifecycle::Active).count()
+        self.targets.keys().filter(|id| self.takes_work(**id)).count()
+    }
+
+    /// Targets that the list names.
+    pub fn listed(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Listed targets that get nothing new: taken out by hand, or leaving by the list's word.
+    pub fn out_of_rotation(&self) -> usize {
+        self.targets.len() - self.that_take_work()
+    }
+
+    /// The targets taken out by hand, listed or not.
+    pub fn taken_out(&self) -> impl Iterator<Item = EndpointId> + '_ {
+        self.out.iter().copied()
     }
 
     /// The target of that identity.
     pub fn find(&self, id: EndpointId) -> Option<Target> {
-        self.targets.get(&id).map(|&(address, _)| Target { id, address })
+        self.targets.get(&id).map(|t| Target { id, address: t.address })
+    }
+
+    /// What holds for a target: the list's word, unless it is taken out by hand.
+    fn lifecycle(&self, id: EndpointId) -> Option<Lifecycle> {
+        let listed = self.targets.get(&id)?.lifecycle;
+        Some(if listed == Lifecycle::Active && self.out.contains(&id) {
+            Lifecycle::Leaving
+        } else {
+            listed
+        })
+    }
+
+    /// A target in the balancer's terms, as it holds now.
+    fn endpoint(&self, e: &Listed) -> Endpoint {
+        let state = match self.lifecycle(e.id).unwrap_or(Lifecycle::Left) {
+            Lifecycle::Active => EndpointState::Ready,
+            Lifecycle::Leaving => EndpointState::Draining,
+            Lifecycle::Left => EndpointState::Gone,
+        };
+        let (id, zone, cell, kind) = (e.id, e.zone, e.cell, e.kind);
+        Endpoint { id, zone, cell, kind, state, started: e.started }
+    }
+
+    fn remember(&mut self, id: EndpointId) {
+        if self.known.insert(id) {
+            self.ever.push_back(id);
+            if self.ever.len() > REMEMBERED {
+                for old in self.ever.drain(..REMEMBERED / 2) {
+                    self.known.remove(&old);
+                }
+            }
+        }
+    }
+
+    /// Takes out a target that an earlier process of this sidecar had taken out, listed or not.
+    pub fn restore_out(&mut self, id: EndpointId) -> Option<Endpoint> {
+        self.remember(id);
+        self.set_out(id, true).ok().flatten()
+    }
+
+    /// Takes a target out by hand, or puts it back. What changes for the balancer is returned: nothing when
+    /// the target is not listed now, or was already so. A target that no list ever named is refused; one taken
+    /// out is remembered whatever the bound.
+    pub fn set_out(&mut self, id: EndpointId, out: bool) -> Result<Option<Endpoint>, NotListed> {
+        if !self.known.contains(&id) && !self.out.contains(&id) {
+            return Err(NotListed::Never);
+        }
+        let changed = if out { self.out.insert(id) } else { self.out.remove(&id) };
+        Ok(self.targets.get(&id).filter(|_| changed).map(|e| self.endpoint(e)))
     }
 
     /// Takes a change or a whole list, and puts it in the balancer's terms.
@@ -84,18 +164,16 @@
         }
         let mut endpoints = Vec::with_capacity(entries.len());
         for e in entries {
-            let state = match e.lifecycle {
-                Lifecycle::Active => EndpointState::Ready,
-                Lifecycle::Leaving => EndpointState::Draining,
-                Lifecycle::Left => EndpointState::Gone,
-            };
+            self.remember(e.id);
+            let mut endpoint = self.endpoint(e);
             if e.lifecycle == Lifecycle::Left {
                 self.targets.remove(&e.id);
+                endpoint.state = EndpointState::Gone;
             } else {
-                self.targets.insert(e.id, (e.address, e.lifecycle));
+                self.targets.insert(e.id, e.clone());
+                endpoint = self.endpoint(e);
             }
-            let (id, zone, cell, kind) = (e.id, e.zone, e.cell, e.kind);
-            endpoints.push(Endpoint { id, zone, cell, kind, state, started: e.started });
+            endpoints.push(endpoint);
         }
         endpoints
     }
--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -12,7 +12,8 @@
 use async_io::{Async, Timer};
 use cottonpoint_codec::buffer::Buffer;
 use cottonpoint_codec::http::{self, Fault, Head};
-use cottonpoint_core::{Executor, FixedResponse, NewFlow, Sidecar, Step};
+use cottonpoint_core::{Executor, Fate, FixedResponse, NewFlow, Sidecar, Step};
+use cottonpoint_decide::ClassId;
 use cottonpoint_settings::Platform;
 use futures_lite::{AsyncWriteExt, StreamExt, future};
 use std::cell::{Cell, RefCell};
@@ -64,6 +65,13 @@
     (Stage::Kept, Duration::ZERO),
 ];
 
+/// In a drain, kept connections are closed as soon as they stand idle, new ones once they had time for their
+/// first request to begin: the front sends a new connection its request at once.
+const DRAIN: [(Stage, Duration); 2] =
+    [(Stage::Kept, Duration::ZERO), (Stage::Fresh, Duration::from_millis(300))];
+/// How often a drain looks for idle connections: the front asks for readiness as often.
+const DRAIN_EVERY: Duration = Duration::from_millis(100);
+
 /// A connection that may be closed: what it is doing, since when, and how to close it.
 struct Closable {
     stage: Stage,
@@ -86,7 +94,9 @@
     ids: RefCell<HashSet<String>>,
     next: Cell<u64>,
     leaving: Cell<bool>,
+    stopping: Cell<bool>,
     closed: (Sender<()>, Receiver<()>),
+    last_call: (Sender<()>, Receiver<()>),
 }
 
 impl Clients {
@@ -109,12 +119,37 @@
             ids: RefCell::default(),
             next: Cell::new(0),
             leaving: Cell::new(false),
+            stopping: Cell::new(false),
             closed: async_channel::bounded(1),
+            last_call: async_channel::bounded(1),
         })
     }
 
     /// Accepts connections for good. Connections without an open flow make room; one with a flow never does.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
+        let take = async {
+            let _ = self.last_call.1.recv().await;
+        };
+        future::or(self.clone().accept_until_told(&listener), take).await;
+        // What is queued already has come to this process: it is taken and served, and the listener closed.
+        while let Ok((stream, _)) = listener.get_ref().accept() {
+            match Async::new(stream) {
+                Ok(stream) => {
+                    let open = Open::new(self.clone());
+                    self.executor.spawn(async move { open.0.clone().connection(stream).await }).detach();
+                }
+                Err(_) => break,
+            }
+        }
+    }
+
+    /// Takes no more connections from now on: those queued are served, and the listener is closed, so that
+    /// all that comes goes to the process beside this one that shares the address.
+    pub fn last_call(&self) {
+        let _ = self.last_call.0.try_send(());
+    }
+
+    async fn accept_until_told(self: Rc<Self>, listener: &Async<TcpListener>) {
         let mut incoming = Box::pin(listener.incoming());
         loop {
             while self.open.get() >= self.connections.get() {
@@ -151,7 +186,35 @@
 
     /// From now on it is not ready, and asks each connection to close after its next answer.
     pub fn leave(&self) {
-        self.leaving.set(true);
+        self.stopping.set(true);
+    }
+
+    /// Sends clients away while the process runs on: it is not ready, each connection closes after its next
+    /// answer, and connections that stand idle are closed as they come to it, until [`Clients::join`].
+    pub fn drain(self: &Rc<Self>) {
+        if self.leaving.replace(true) {
+            return;
+        }
+        let clients = Rc::downgrade(self);
+        self.executor
+            .spawn(async move {
+                while let Some(clients) = clients.upgrade().filter(|c| c.leaving.get()) {
+                    while clients.make_room(&DRAIN) {}
+                    drop(clients);
+                    Timer::after(DRAIN_EVERY).await;
+                }
+            })
+            .detach();
+    }
+
+    /// Ends a drain: ready again, and connections are kept.
+    pub fn join(&self) {
+        self.leaving.set(false);
+    }
+
+    /// Whether clients are being sent away, by a drain or for a stop.
+    pub fn leaving(&self) -> bool {
+        self.leaving.get() || self.stopping.get()
     }
 
     /// Closes all connections that are between requests.
@@ -216,7 +279,7 @@
             };
             let Some(reply) = reply else { return };
             // Who sends what cannot be served starts anew; and nobody gets ahead by asking without a pause.
-            let keep = keep && !reply.is_client_error() && !self.leaving.get();
+            let keep = keep && !reply.is_client_error() && !self.leaving();
             let bytes = reply.bytes(keep);
             let sent = within(SLOW_READER, (&stream).write_all(&bytes)).await;
             if sent.is_err() {
@@ -275,7 +338,7 @@
         body: Vec<u8>,
     ) -> Option<Reply> {
         if head.line[1] == "/health/ready" {
-            return Some(match !self.leaving.get() && self.sidecar.has_targets() {
+            return Some(match !self.leaving() && self.sidecar.has_targets() {
                 true => Reply::plain(200, "ready"),
                 false => Reply::plain(503, "not ready"),
             });
@@ -287,16 +350,33 @@
         // A flow needs a connection to a target: where none may be left, trying again does no harm.
         if self.ids.borrow().len() >= self.servers.bound() {
             let retry_after = self.platform.max_retry_after;
-            return Some(Reply::fixed(FixedResponse::Refused { retry_after }));
+            let reply = Reply::fixed(FixedResponse::Refused { retry_after });
+            self.count(taken.class, Some(&reply));
+            return Some(reply);
         }
         if !self.ids.borrow_mut().insert(taken.id.clone()) {
             return Some(Reply::plain(409, "the id is that of an open request"));
         }
         let reply = self.follow(&taken, stream, buffer).await;
         self.ids.borrow_mut().remove(&taken.id);
+        self.count(taken.class, reply.as_ref());
         reply
     }
 
+    fn class_name(&self, class: ClassId) -> &str {
+        self.platform.classes.get(usize::from(class.0)).map_or("", String::as_str)
+    }
+
+    /// Counts a flow's final answer for its class; one whose client has gone counts as failed.
+    fn count(&self, class: ClassId, reply: Option<&Reply>) {
+        let fate = match reply.map(|r| r.status) {
+            Some(200..=299) => Fate::Fulfilled,
+            Some(429 | 503) => Fate::Throttled,
+            _ => Fate::Faulted,
+        };
+        self.sidecar.counts().ended_as(self.class_name(class), fate);
+    }
+
     /// Takes a flow through its stages.
     async fn follow(
         &self,
@@ -305,6 +385,7 @@
         buffer: &mut Buffer,
     ) -> Option<Reply> {
         let clock = self.sidecar.clock();
+        let class = self.class_name(taken.class);
         let due = clock.now() + taken.left.saturating_sub(TRAVEL);
         let flow = self.sidecar.admit(NewFlow { class: taken.class, tenant: taken.tenant, due });
         let stages = async {
@@ -312,8 +393,9 @@
                 match flow.route().await {
                     Step::Forward(forward) => {
                         let until = clock.instant(forward.until);
+                        let written = || self.sidecar.counts().relayed(class);
                         let (outcome, report, served) =
-                            self.servers.send(&forward, until, &taken.outgoing).await;
+                            self.servers.send(&forward, until, &taken.outgoing, written).await;
                         if forward.book(outcome, report) {
                             return Some(Reply::served(served));
                         }
--- /dev/null
+++ b/crates/net/src/console.rs
@@ -0,0 +1,183 @@
+//! The console: the operator's second address. One call a connection, a line each way: the answer begins with
+//! `+OK` or `-ERR`. What a call does is the caller's business, given as a function; here are the line, the
+//! bounds and the timers, so that no caller, silent or slow, holds anything of the data path.
+
+use crate::within;
+use async_io::{Async, Timer};
+use cottonpoint_core::Executor;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::cell::Cell;
+use std::fmt;
+use std::io;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest call: a command and an endpoint's name.
+pub const LINE_LIMIT: usize = 512;
+/// A caller that has not sent its whole line by then is let go: some send nothing, or half a call, and stay
+/// for 4 s (the operators' page); the line may still be finished until then.
+const PATIENCE: Duration = Duration::from_millis(4500);
+/// Callers served at once; past that, the newest wait in the listener's backlog. Each holds one descriptor.
+const AT_ONCE: usize = 32;
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
+/// A call, as the operator writes it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process takes clients.
+    Health,
+    /// The figures.
+    Dump,
+    /// Take that endpoint out.
+    Offline(String),
+    /// Use that endpoint again.
+    Online(String),
+    /// Send clients away.
+    Leave,
+    /// End of the drain.
+    Join,
+}
+
+/// Why a line is no call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BadCall(String);
+
+impl fmt::Display for BadCall {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl Call {
+    /// Reads one line, without its end. Commands are taken in any case; names as they are.
+    pub fn parse(line: &str) -> Result<Call, BadCall> {
+        let mut words = line.split_ascii_whitespace();
+        let Some(command) = words.next() else { return Err(BadCall("empty line".to_owned())) };
+        let id = words.next();
+        if words.next().is_some() {
+            return Err(BadCall(format!("{command}: too many words")));
+        }
+        let none = |call: Call| match id {
+            None => Ok(call),
+            Some(_) => Err(BadCall(format!("{command} takes no argument"))),
+        };
+        let named = |call: fn(String) -> Call| match id {
+            Some(id) => Ok(call(id.to_owned())),
+            None => Err(BadCall(format!("{command} wants an endpoint id"))),
+        };
+        match command.to_ascii_uppercase().as_str() {
+            "HEALTH" => none(Call::Health),
+            "DUMP" => none(Call::Dump),
+            "LEAVE" => none(Call::Leave),
+            "JOIN" => none(Call::Join),
+            "OFFLINE" => named(Call::Offline),
+            "ONLINE" => named(Call::Online),
+            _ => Err(BadCall(format!("unknown command {}", command.escape_debug()))),
+        }
+    }
+}
+
+/// What a line that ends a call's answer holds: the answer is whole.
+pub fn answer_line(result: Result<String, String>) -> String {
+    let one_line = |s: String| s.replace(['\r', '\n'], " ");
+    match result {
+        Ok(words) if words.is_empty() => "+OK\n".to_owned(),
+        Ok(words) => format!("+OK {}\n", one_line(words)),
+        Err(why) => format!("-ERR {}\n", one_line(why)),
+    }
+}
+
+/// Answers calls on the listener for good; `answer` gives the whole text for a call, its lines ended.
+pub async fn serve(
+    listener: TcpListener,
+    executor: Executor,
+    answer: Rc<dyn Fn(Call) -> String>,
+) -> io::Result<()> {
+    let listener = Async::new(listener)?;
+    let busy = Rc::new(Cell::new(0usize));
+    loop {
+        while busy.get() >= AT_ONCE {
+            Timer::after(ACCEPT_AGAIN).await;
+        }
+        // A listener's error, such as no descriptor left, is tried again a little later.
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                busy.set(busy.get() + 1);
+                let (busy, answer) = (busy.clone(), answer.clone());
+                executor
+                    .spawn(async move {
+                        let _ = within(PATIENCE, one(&stream, &*answer)).await;
+                        let _ = stream.get_ref().shutdown(Shutdown::Both);
+                        busy.set(busy.get() - 1);
+                    })
+                    .detach();
+            }
+            Err(_) => drop(Timer::after(ACCEPT_AGAIN).await),
+        }
+    }
+}
+
+/// One call on one connection.
+async fn one(stream: &Async<TcpStream>, answer: &dyn Fn(Call) -> String) -> io::Result<()> {
+    let mut line = Vec::with_capacity(64);
+    let mut reader = stream;
+    let mut chunk = [0u8; 128];
+    let text = loop {
+        let n = reader.read(&mut chunk).await?;
+        if n == 0 {
+            break None;
+        }
+        line.extend_from_slice(&chunk[..n]);
+        if let Some(end) = line.iter().position(|&b| b == b'\n') {
+            line.truncate(end);
+            break Some(());
+        }
+        if line.len() > LINE_LIMIT {
+            let _ = (&*stream).write_all(answer_line(Err("line too long".to_owned())).as_bytes()).await;
+            return Ok(());
+        }
+    };
+    // A call without its end is still a call, when the caller closes its side.
+    if text.is_none() && line.is_empty() {
+        return Ok(());
+    }
+    if line.last() == Some(&b'\r') {
+        line.pop();
+    }
+    let reply = match std::str::from_utf8(&line).map_err(|_| BadCall("not UTF-8".to_owned())) {
+        Ok(text) => match Call::parse(text) {
+            Ok(call) => answer(call),
+            Err(bad) => answer_line(Err(bad.to_string())),
+        },
+        Err(bad) => answer_line(Err(bad.to_string())),
+    };
+    let mut writer = stream;
+    writer.write_all(reply.as_bytes()).await
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_are_read_in_any_case_and_bad_ones_named() {
+        assert_eq!(Call::parse("HEALTH"), Ok(Call::Health));
+        assert_eq!(Call::parse("dump"), Ok(Call::Dump));
+        assert_eq!(Call::parse("OFFLINE  t1 "), Ok(Call::Offline("t1".to_owned())));
+        assert_eq!(Call::parse("ONLINE t1"), Ok(Call::Online("t1".to_owned())));
+        assert_eq!(Call::parse("LEAVE"), Ok(Call::Leave));
+        assert_eq!(Call::parse("JOIN"), Ok(Call::Join));
+        assert_eq!(Call::parse("").unwrap_err().to_string(), "empty line");
+        assert_eq!(Call::parse("OFFLINE").unwrap_err().to_string(), "OFFLINE wants an endpoint id");
+        assert_eq!(Call::parse("LEAVE now").unwrap_err().to_string(), "LEAVE takes no argument");
+        assert_eq!(Call::parse("PING").unwrap_err().to_string(), "unknown command PING");
+        assert_eq!(Call::parse("ONLINE a b").unwrap_err().to_string(), "ONLINE: too many words");
+    }
+
+    #[test]
+    fn an_answer_is_one_line() {
+        assert_eq!(answer_line(Ok(String::new())), "+OK\n");
+        assert_eq!(answer_line(Err("no such\nendpoint".to_owned())), "-ERR no such endpoint\n");
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,6 +1,7 @@
 //! What speaks on sockets, by peer: clients, servers (the targets) and the list (discovery).
 
 pub mod clients;
+pub mod console;
 pub mod list;
 pub mod servers;
 
--- a/crates/net/src/servers/send.rs
+++ b/crates/net/src/servers/send.rs
@@ -48,7 +48,14 @@
 impl Servers {
     /// Sends a forward, and waits until it is answered, broken, halted or out of time. To give it up, its
     /// connection is closed.
-    pub async fn send(&self, forward: &Forward, until: Instant, message: &Outgoing) -> Ended {
+    /// `written` hears once when the last byte of the forward is written.
+    pub async fn send(
+        &self,
+        forward: &Forward,
+        until: Instant,
+        message: &Outgoing,
+        written: impl FnOnce(),
+    ) -> Ended {
         let progress = Cell::new(Progress::NotBegun);
         let ended = |outcome| (outcome, None, Served::default());
         let timeout = async {
@@ -68,7 +75,7 @@
                 }
             }
         };
-        let exchange = self.exchange(forward, until, message, &progress);
+        let exchange = self.exchange(forward, until, message, &progress, written);
         let ended = future::or(exchange, future::or(halted, timeout)).await;
         if forward.wanted() {
             self.heard(forward.target.id, ended.0);
@@ -82,6 +89,7 @@
         until: Instant,
         message: &Outgoing,
         progress: &Cell<Progress>,
+        written: impl FnOnce(),
     ) -> Ended {
         let target = forward.target;
         let failed = |outcome| (outcome, None, Served::default());
@@ -97,6 +105,7 @@
         if write(&connection, &bytes, progress).await.is_err() {
             return failed(Outcome::ConnectFailed);
         }
+        written();
         let mut stream = &*connection.stream;
         let buffer = &mut connection.buffer;
         let answer = crate::read_answer(buffer, &mut stream, http::BODY_LIMIT, WHOLE_WITHIN).await;
--- a/crates/program/src/cli.rs
+++ b/crates/program/src/cli.rs
@@ -79,6 +79,23 @@
     listener.map_err(|e| format!("cannot listen on {address}: {e}"))
 }
 
+/// Listens where clients connect, beside a process of another version that may hold the same address for a
+/// while (SO_REUSEPORT): the kernel shares new connections out between the two until the old one leaves.
+pub fn listen_shared(address: SocketAddr) -> Result<(TcpListener, SocketAddr), String> {
+    use socket2::{Domain, Protocol, Socket, Type};
+    let shared = || -> std::io::Result<TcpListener> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_reuse_port(true)?;
+        socket.bind(&address.into())?;
+        // The backlog of the standard library's own listener.
+        socket.listen(128)?;
+        Ok(socket.into())
+    };
+    let listener = shared().and_then(|l| l.local_addr().map(|address| (l, address)));
+    listener.map_err(|e| format!("cannot listen on {address}: {e}"))
+}
+
 fn check(path: PathBuf, operator_path: Option<PathBuf>) -> Result<(), String> {
     let config = Config::load(&path).map_err(|e| e.to_string())?;
     println!("{config}\n{}", operator(operator_path)?);
@@ -91,14 +108,19 @@
     let config = Config::load(&path).map_err(|e| e.to_string())?;
     let operator = operator(operator_path)?;
     log::start(&operator.log);
-    let (listener, address) = listen(config.listen)?;
+    let (listener, address) = listen_shared(config.listen)?;
     let metrics = operator.metrics.listen.map(listen_for_metrics).transpose()?;
+    let console = config.console.map(listen).transpose()?.map(|(listener, address)| {
+        tracing::info!(listen = %address, "serves the console");
+        listener
+    });
     tracing::info!(name = config.name, listen = %address, "serves");
     let words = signals.map(move |signal| match signal {
         Ok(Signal::Hup) => Word::Reload(Config::load(&path).map(Box::new)),
         _ => Word::Stop,
     });
-    serve::run(config, listener, metrics, words).map_err(|e| e.to_string())?;
+    let listeners = serve::Listeners { clients: listener, metrics, console };
+    serve::run_with(config, listeners, words).map_err(|e| e.to_string())?;
     tracing::info!("stopped, all answered");
     Ok(())
 }
--- a/crates/program/src/config.rs
+++ b/crates/program/src/config.rs
@@ -51,6 +51,10 @@
     pub known: Option<Answer>,
     /// The platform's settings.
     pub platform: Platform,
+    /// Where the console listens, if anywhere.
+    pub console: Option<SocketAddr>,
+    /// Where what outlives a process is kept (`$TMPDIR`), if anywhere.
+    pub state: Option<std::path::PathBuf>,
 }
 
 impl Config {
@@ -111,7 +115,14 @@
         // A flow holds a connection on either side; clients keep some more, and as many again come with no
         // flow at all.
         let spare = usize::try_from(sockets).unwrap_or(usize::MAX).min(1 << 16) - RESERVE;
+        let console = match (json.get("console"), variable("NODE_CONSOLE")) {
+            (None, None) => None,
+            _ => Some(address("console", "NODE_CONSOLE")?),
+        };
+        let state = variable("TMPDIR").filter(|dir| !dir.is_empty()).map(std::path::PathBuf::from);
         Ok(Config {
+            console,
+            state,
             name,
             listen: address("listen", "NODE_LISTEN")?,
             discovery: address("discovery", "NODE_DISCOVERY")?,
@@ -131,6 +142,7 @@
         let fixed = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
+            ("console", self.console != new.console),
             ("settings", self.platform != new.platform),
         ];
         let fixed: Vec<_> = fixed.iter().filter(|(_, changed)| *changed).map(|(key, _)| *key).collect();
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod cli;
 pub mod config;
+pub mod console;
 pub mod log;
 pub mod metrics;
 pub mod operator;
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -1,15 +1,18 @@
 //! The sidecar as a program: its parts put together, from the first connection to the last.
 
 use crate::config::{BadConfig, Config};
+use crate::console::{Console, TakenOut};
 use crate::metrics::Watched;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use cottonpoint_core::{Clock, Executor, Sidecar};
 use cottonpoint_decide::ListKind;
 use cottonpoint_net::clients::Clients;
+use cottonpoint_net::console::Call;
 use cottonpoint_net::list::{Names, Watcher};
 use cottonpoint_net::servers::{Servers, Terms};
 use futures_lite::{Stream, StreamExt, future};
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -21,6 +24,10 @@
 /// By then, connections between requests are closed: what crosses that is sent again, while we still accept.
 const CLOSE_IDLE: Duration = Duration::from_millis(450);
 
+/// How often the file of endpoints out by hand is read again, for what a process beside this one wrote: well
+/// within the grace of a drain.
+const FOLLOW_EVERY: Duration = Duration::from_millis(200);
+
 /// What a running sidecar is told from outside.
 #[derive(Debug)]
 pub enum Word {
@@ -37,15 +44,34 @@
     listener: TcpListener,
     metrics: Option<TcpListener>,
     words: impl Stream<Item = Word> + Unpin + 'static,
+) -> io::Result<()> {
+    run_with(config, Listeners { clients: listener, metrics, console: None }, words)
+}
+
+/// Where the sidecar listens: for clients, and where given for metrics and the console.
+#[derive(Debug)]
+pub struct Listeners {
+    /// Clients.
+    pub clients: TcpListener,
+    /// `GET /metrics`.
+    pub metrics: Option<TcpListener>,
+    /// The console's calls.
+    pub console: Option<TcpListener>,
+}
+
+/// The same with all listeners.
+pub fn run_with(
+    config: Config,
+    listeners: Listeners,
+    words: impl Stream<Item = Word> + Unpin + 'static,
 ) -> io::Result<()> {
     let executor: Executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(config, listener, metrics, words, executor.clone())))
+    async_io::block_on(executor.run(serve(config, listeners, words, executor.clone())))
 }
 
 async fn serve(
     config: Config,
-    listener: TcpListener,
-    metrics: Option<TcpListener>,
+    Listeners { clients: listener, metrics, console: console_listener }: Listeners,
     mut words: impl Stream<Item = Word> + Unpin + 'static,
     executor: Executor,
 ) -> io::Result<()> {
@@ -85,7 +111,35 @@
         config.client_connections,
     );
     let accept = executor.spawn(clients.clone().accept(Async::new(listener)?));
+    let succession = config.state.as_deref().map(Succession::new);
+    if let Some(Err(e)) = succession.as_ref().map(Succession::announce) {
+        tracing::warn!(%e, "a newer process beside this one could not be announced");
+    }
 
+    let stopping = Rc::new(Cell::new(false));
+    let out = Rc::new(TakenOut::load(config.state.as_deref()));
+    let console = Rc::new(Console {
+        sidecar: sidecar.clone(),
+        clients: clients.clone(),
+        classes: Rc::new(RefCell::new(config.platform.classes.clone())),
+        out,
+        stopping: stopping.clone(),
+    });
+    console.restore();
+    let follower = Rc::downgrade(&console);
+    let _follow = executor.spawn(async move {
+        while let Some(console) = follower.upgrade() {
+            console.follow_file();
+            drop(console);
+            Timer::after(FOLLOW_EVERY).await;
+        }
+    });
+    let _console = console_listener.map(|listener| {
+        let console = console.clone();
+        let answer: Rc<dyn Fn(Call) -> String> = Rc::new(move |call| console.answer(call));
+        executor.spawn(cottonpoint_net::console::serve(listener, executor.clone(), answer))
+    });
+    let counts = sidecar.clone();
     let watched = Watched { sidecar, clients: clients.clone(), servers: servers.clone() };
     let _metrics = metrics.map(|listener| executor.spawn(watched.serve(listener)));
 
@@ -97,6 +151,7 @@
                 // Configurations are still heeded while what was taken is being answered.
                 Word::Stop => drop(stop.try_send(())),
                 Word::Reload(Ok(config)) => {
+                    counts.counts().configuration(true);
                     if config.discovery != current.discovery {
                         let _ = moves.try_send(config.discovery);
                     }
@@ -104,15 +159,24 @@
                     servers.set_bound(config.target_connections);
                     tracing::info!("{}", current.change_to(*config));
                 }
-                Word::Reload(Err(fault)) => tracing::error!(%fault, "the old configuration holds"),
+                Word::Reload(Err(fault)) => {
+                    counts.counts().configuration(false);
+                    tracing::error!(%fault, "the old configuration holds");
+                }
             }
         }
         drop(stop);
         future::pending::<()>().await; // The watcher may be told of a move for as long as it lives.
     });
     let _ = stopped.recv().await;
+    stopping.set(true);
 
     clients.leave();
+    if succession.as_ref().is_some_and(Succession::followed) {
+        // A newer process shares the clients' address: what comes goes there from now on.
+        tracing::info!("a newer process serves beside this one: it takes all new connections");
+        clients.last_call();
+    }
     Timer::after(CLOSE_IDLE).await;
     clients.close_idle();
     Timer::after(STILL_COMING - CLOSE_IDLE).await;
@@ -129,3 +193,33 @@
     drop((accept, heed));
     Ok(())
 }
+
+/// Processes of the sidecar that follow one another on the same clients' address, as the state directory
+/// tells: each announces itself once it listens, so that an older one, told to stop, knows that a newer one
+/// takes the clients (an upgrade) rather than nobody (a restart).
+pub struct Succession {
+    file: std::path::PathBuf,
+}
+
+impl Succession {
+    /// The file that names the newest process.
+    pub const FILE: &'static str = "cottonpoint-newest.pid";
+
+    /// Announcements in that directory.
+    pub fn new(state: &std::path::Path) -> Succession {
+        Succession { file: state.join(Self::FILE) }
+    }
+
+    /// This process is the newest from now on.
+    pub fn announce(&self) -> io::Result<()> {
+        let beside = self.file.with_extension(format!("{}.new", std::process::id()));
+        std::fs::write(&beside, std::process::id().to_string())?;
+        std::fs::rename(&beside, &self.file)
+    }
+
+    /// Whether a newer process has announced itself since.
+    pub fn followed(&self) -> bool {
+        let newest = std::fs::read_to_string(&self.file).ok();
+        newest.and_then(|pid| pid.trim().parse::<u32>().ok()).is_some_and(|pid| pid != std::process::id())
+    }
+}
--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -1,6 +1,7 @@
 //! The sidecar on sockets, against scripted peers: one story for each failure that it guards against.
 #![allow(missing_docs)]
 
+mod console;
 mod peers;
 
 use insta::assert_snapshot;
--- a/crates/program/tests/sidecar/peers.rs
+++ b/crates/program/tests/sidecar/peers.rs
@@ -163,6 +163,18 @@
         Running { address, words, thread: thread::spawn(serve) }
     }
 
+    /// One with a console, whose state outlives it in `state`, if given.
+    pub fn with_console(config: &str, state: Option<&std::path::Path>) -> (Running, SocketAddr) {
+        let state = state.map(|s| s.display().to_string());
+        let config = Config::parse(config, |name| state.clone().filter(|_| name == "TMPDIR"));
+        let config = config.expect("a good configuration");
+        let ((listener, address), (console, at)) = (listen(), listen());
+        let (words, heard) = async_channel::unbounded();
+        let listeners = serve::Listeners { clients: listener, metrics: None, console: Some(console) };
+        let serve = move || serve::run_with(config, listeners, Box::pin(heard)).expect("it serves");
+        (Running { address, words, thread: thread::spawn(serve) }, at)
+    }
+
     /// One that knows these targets and whose discovery is scripted by the story.
     pub fn knowing(targets: &[SocketAddr], discovery: &Peer) -> Running {
         let targets = targets.iter().enumerate();
@@ -218,3 +230,21 @@
 Content-Length: 5
 
 paper";
+
+/// One call on the console, and its whole answer: a line, or for `DUMP` the lines up to `.`.
+pub fn call(console: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(console).expect("the console listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+    stream.write_all(format!("{line}\n").as_bytes()).expect("it reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer in time");
+    answer
+}
+
+/// The figures of `DUMP`, as JSON.
+pub fn figures(console: SocketAddr) -> serde_json::Value {
+    let answer = call(console, "DUMP");
+    let lines: Vec<&str> = answer.lines().collect();
+    assert_eq!((lines[0], lines.len(), lines[lines.len() - 1]), ("+OK", 3, "."), "{answer}");
+    serde_json::from_str(lines[1]).expect("JSON")
+}
