Ask discovery at once when started beside an older process

Ruled out: the bans (the endpoint was never taken out by hand) and the old process after SIGTERM (its log ends at 9.26 s, but its watch had the news).

Change: a process that finds another live process announced in TMPDIR asks for the whole list at once (crates/program/src/serve.rs), through the same path as a move of discovery. The spread stays for starts without a neighbour, where many sidecars may start at once. Not taken: handing the list over through TMPDIR, which needs a file kept in step at every change and would still be late by its own period.

--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -15,6 +15,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::TcpListener;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -112,6 +113,12 @@
     );
     let accept = executor.spawn(clients.clone().accept(Async::new(listener)?));
     let succession = config.state.as_deref().map(Succession::new);
+    if succession.as_ref().is_some_and(Succession::beside_another) {
+        // An upgrade: the older process has watched discovery all along, and its news holds for this one
+        // soon after this one is ready. The whole list is asked for at once, not at a spread-out time.
+        tracing::info!("started beside an older process: discovery is asked at once");
+        let _ = moves.try_send(config.discovery);
+    }
     if let Some(Err(e)) = succession.as_ref().map(Succession::announce) {
         tracing::warn!(%e, "a newer process beside this one could not be announced");
     }
@@ -217,6 +224,13 @@
         std::fs::rename(&beside, &self.file)
     }
 
+    /// Whether another process of the sidecar has announced itself and still runs.
+    pub fn beside_another(&self) -> bool {
+        let newest = std::fs::read_to_string(&self.file).ok();
+        let pid = newest.and_then(|pid| pid.trim().parse::<u32>().ok());
+        pid.is_some_and(|pid| pid != std::process::id() && Path::new(&format!("/proc/{pid}")).exists())
+    }
+
     /// Whether a newer process has announced itself since.
     pub fn followed(&self) -> bool {
         let newest = std::fs::read_to_string(&self.file).ok();
