DUMP answers with the figures alone on one JSON line, then a dot; attempts must be above 0

Change: DUMP gives the JSON line and '.'; a total 'relayed' beside those of each class; the settings refuse limits.max_attempts of 0 (crates/settings), so such a file counts in cfg_invalid and the old settings hold. Console calls and unknown paths are logged at debug.

--- a/crates/net/src/clients/take_in.rs
+++ b/crates/net/src/clients/take_in.rs
@@ -65,7 +65,10 @@
     let path = head.line[1].split('?').next().unwrap_or_default();
     let first = path.split('/').nth(1).unwrap_or_default();
     let named = |name: &str| platform.classes.iter().position(|c| c == name);
-    let Some(class) = named(first) else { return Err(Reply::plain(404, "unknown path")) };
+    let Some(class) = named(first) else {
+        tracing::debug!(method = head.line[0], path, "unknown path");
+        return Err(Reply::plain(404, "unknown path"));
+    };
     match head.get("x-service-class").map(named) {
         Some(None) => return Err(Reply::plain(404, "unknown class")),
         Some(Some(other)) if other != class => return bad("class and path differ"),
--- a/crates/net/src/console.rs
+++ b/crates/net/src/console.rs
@@ -146,7 +146,7 @@
         line.pop();
     }
     let reply = match std::str::from_utf8(&line).map_err(|_| BadCall("not UTF-8".to_owned())) {
-        Ok(text) => match Call::parse(text) {
+        Ok(text) => match Call::parse(text).inspect(|call| tracing::debug!(?call, "console")) {
             Ok(call) => answer(call),
             Err(bad) => answer_line(Err(bad.to_string())),
         },
--- a/crates/program/src/console.rs
+++ b/crates/program/src/console.rs
@@ -107,7 +107,8 @@
         match call {
             Call::Health if self.stopping.get() => answer_line(Err("stopping".to_owned())),
             Call::Health => answer_line(Ok(String::new())),
-            Call::Dump => format!("{}{}\n.\n", answer_line(Ok(String::new())), self.figures()),
+            // The figures stand alone, as one JSON line, then the line that ends them.
+            Call::Dump => format!("{}\n.\n", self.figures()),
             Call::Leave => {
                 self.clients.drain();
                 answer_line(Ok(String::new()))
@@ -147,10 +148,12 @@
         for (class, c) in counts.classes() {
             operations.insert(class, figures_of(c));
         }
+        let relayed: u64 = counts.classes().values().map(|c| c.relayed).sum();
         let (listed, out_of_rotation) = self.sidecar.rotation();
         let (accepted, invalid) = counts.configurations();
         json!({
             "operations": operations,
+            "relayed": relayed,
             "open_requests": self.sidecar.open_flows(),
             "registry_entries": listed,
             "out_of_rotation": out_of_rotation,
--- a/crates/program/tests/sidecar/console.rs
+++ b/crates/program/tests/sidecar/console.rs
@@ -32,12 +32,18 @@
     assert_eq!(seen["operations"]["look"]["relayed"], 3, "{seen}");
     assert_eq!(seen["operations"]["look"]["throttled"], 0, "{seen}");
     assert_eq!(seen["operations"]["order"]["fulfilled"], 0, "{seen}");
+    assert_eq!(seen["relayed"], 3, "{seen}");
     assert_eq!(seen["open_requests"], 0, "{seen}");
     assert_eq!(seen["registry_entries"], 1, "{seen}");
     assert_eq!(seen["out_of_rotation"], 0, "{seen}");
     assert_eq!((seen["cfg_accepted"].clone(), seen["cfg_invalid"].clone()), (0.into(), 0.into()));
     sidecar.reload("{");
     while figures(console)["cfg_invalid"] != 1 {}
+    let no_attempts =
+        config(discovery.address, "null", 1024).replace(r#""max_attempts":3"#, r#""max_attempts":0"#);
+    sidecar.reload(&no_attempts);
+    while figures(console)["cfg_invalid"] != 2 {}
+    assert_eq!(figures(console)["cfg_accepted"], 0);
     sidecar.ends();
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -138,6 +138,12 @@
         if self.0.contains_key(key) { self.nanos(key) } else { Ok(default) }
     }
 
+    /// A number that must be above 0.
+    fn above_zero<T: FromStr + PartialOrd + Default>(&self, key: &str) -> Result<T> {
+        let n: T = self.get(key)?;
+        if n > T::default() { Ok(n) } else { Self::bad(key, "must be above 0") }
+    }
+
     /// A span of time that must not be nothing.
     fn span(&self, key: &str) -> Result<Duration> {
         match self.nanos(key)? {
@@ -216,7 +222,7 @@
             discovery,
             reporting,
             limits: Limits {
-                max_attempts: self.get("limits.max_attempts")?,
+                max_attempts: self.above_zero("limits.max_attempts")?,
                 may_duplicate: self.get("limits.may_duplicate")?,
                 may_cancel: self.get("limits.cancelling")?,
                 may_probe: self.get("limits.probes")?,
