Take settings given at SIGHUP: new flows get a balancer of the new settings

Design: the core holds up to four balancers, by the number of their settings; a flow belongs to the one it came in under, so open flows keep their rules; list changes go to all, timers to their own; a balancer of earlier settings is dropped when its last flow ends. Take in reads classes from the new settings at once. Not taken: changing the settings inside the one balancer, which would mean per-class state resized in the policy, held at its 940 lines, and open flows judged by rules that they did not come in under. Cost: the new balancer learns its limit and weights anew, as at a start.

Test: a class added at a reload is served, a dropped one is 404, and a flow open across the reload has its answer.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -29,8 +29,11 @@
         let id = RequestId(self.next_flow.get());
         self.next_flow.set(id.0 + 1);
         let (sender, steps) = async_channel::unbounded();
-        let entry = Entry { steps: sender, forwards: Vec::new(), closed: false };
-        self.core.borrow_mut().flows.insert(id, entry);
+        let mut core = self.core.borrow_mut();
+        let tuning = core.newest();
+        let entry = Entry { tuning, steps: sender, forwards: Vec::new(), closed: false };
+        core.flows.insert(id, entry);
+        drop(core);
         let call = Call { id, class: new.class, tenant: new.tenant, due: new.due, cost: None };
         self.counts.admit();
         self.feed(Event::Arrived(call));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,8 @@
 
 /// One flow as the core follows it.
 struct Entry {
+    /// The settings that it came in under: the balancer that holds it.
+    tuning: u32,
     steps: Sender<Step>,
     /// For each forward: what may halt it, and where it goes.
     forwards: Vec<(Sender<Halt>, EndpointId)>,
@@ -39,8 +41,16 @@
     closed: bool,
 }
 
+/// Balancers held at once: the one of the settings in force, and those of earlier settings while flows that
+/// came in under them are open. A reload past that is put off until one of them is empty.
+const TUNINGS: usize = 4;
+
 struct Core {
-    balancer: Balancer,
+    /// By the settings' number, oldest first; the last takes new flows.
+    balancers: VecDeque<(u32, Balancer)>,
+    /// Settings given at a reload while [`TUNINGS`] balancers were held.
+    pending: Option<Settings>,
+    seed: u64,
     flows: HashMap<RequestId, Entry>,
     group: Group,
     actions: Vec<Action>,
@@ -66,7 +76,9 @@
     ) -> (Rc<Self>, Receiver<()>) {
         let (subscribe, subscriptions) = async_channel::unbounded();
         let core = Core {
-            balancer: Balancer::new(settings, seed, clock.now()),
+            balancers: VecDeque::from([(0, Balancer::new(settings, seed, clock.now()))]),
+            pending: None,
+            seed,
             flows: HashMap::new(),
             group: Group::default(),
             actions: Vec::new(),
@@ -181,24 +193,73 @@
         self.feed(Event::DiscoveryFailed);
     }
 
-    /// Feeds one event and carries out what follows from it. Carrying out only queues steps and starts
-    /// timers, so it never comes back here while the core is borrowed.
+    /// New flows go by these settings from now on; open flows keep the settings they came in under, with the
+    /// balancer that holds them, until the last of them ends. The new balancer learns the target group as it
+    /// stands, as at a start.
+    pub fn retune(self: &Rc<Self>, settings: Settings) {
+        let tuning = {
+            let mut core = self.core.borrow_mut();
+            core.retire();
+            if core.balancers.len() >= TUNINGS {
+                core.pending = Some(settings);
+                return;
+            }
+            let tuning = core.balancers.back().map_or(0, |(n, _)| n + 1);
+            let seed = core.seed ^ u64::from(tuning).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            core.balancers.push_back((tuning, Balancer::new(settings, seed, self.clock.now())));
+            tuning
+        };
+        let endpoints = self.core.borrow().group.all();
+        self.feed_to(Some(tuning), Event::Endpoints { kind: ListKind::Full, entries: &endpoints });
+    }
+
+    /// Feeds one event to the balancer that it concerns (to all, for what concerns targets).
     fn feed(self: &Rc<Self>, event: Event<'_>) {
+        let tuning = {
+            let core = self.core.borrow();
+            match &event {
+                Event::Endpoints { .. } | Event::DiscoveryFailed => None,
+                Event::Arrived(call) => core.flows.get(&call.id).map(|e| e.tuning),
+                Event::Finished { id, .. } | Event::StreamStarted { id } | Event::Departed { id } => {
+                    Some(core.flows.get(id).map_or_else(|| core.newest(), |e| e.tuning))
+                }
+                Event::Timer { .. } | Event::ProbeFinished { .. } => Some(core.newest()),
+            }
+        };
+        self.feed_to(tuning, event);
+        let pending = {
+            let mut core = self.core.borrow_mut();
+            core.retire();
+            let room = core.balancers.len() < TUNINGS;
+            if room { core.pending.take() } else { None }
+        };
+        if let Some(settings) = pending {
+            self.retune(settings);
+        }
+    }
+
+    /// Feeds one event to one balancer, or to each, and carries out what follows from it. Carrying out only
+    /// queues steps and starts timers, so it never comes back here while the core is borrowed.
+    fn feed_to(self: &Rc<Self>, tuning: Option<u32>, event: Event<'_>) {
         let mut core = self.core.borrow_mut();
-        let mut follow_ups = VecDeque::new();
-        let mut actions = std::mem::take(&mut core.actions);
-        tracing::trace!(?event, limit = core.balancer.limit());
-        core.balancer.handle(self.clock.now(), event, &mut actions);
-        loop {
-            for action in actions.drain(..) {
-                tracing::trace!(?action);
-                follow_ups.extend(self.carry_out(&mut core, action));
+        let tunings: Vec<u32> = core.balancers.iter().map(|(n, _)| *n).collect();
+        for n in tunings.into_iter().filter(|n| tuning.is_none_or(|t| t == *n)) {
+            let mut follow_ups = VecDeque::new();
+            let mut actions = std::mem::take(&mut core.actions);
+            let now = self.clock.now();
+            tracing::trace!(?event, tuning = n);
+            core.balancer(n).handle(now, event, &mut actions);
+            loop {
+                for action in actions.drain(..) {
+                    tracing::trace!(?action);
+                    follow_ups.extend(self.carry_out(&mut core, n, action));
+                }
+                let Some(event) = follow_ups.pop_front() else { break };
+                tracing::trace!(?event);
+                core.balancer(n).handle(self.clock.now(), event, &mut actions);
             }
-            let Some(event) = follow_ups.pop_front() else { break };
-            tracing::trace!(?event);
-            core.balancer.handle(self.clock.now(), event, &mut actions);
+            core.actions = actions;
         }
-        core.actions = actions;
     }
 
     fn answer(&self, core: &mut Core, id: RequestId, response: FixedResponse) {
@@ -207,7 +268,7 @@
         }
     }
 
-    fn carry_out(self: &Rc<Self>, core: &mut Core, action: Action) -> Option<Event<'static>> {
+    fn carry_out(self: &Rc<Self>, core: &mut Core, tuning: u32, action: Action) -> Option<Event<'static>> {
         match action {
             Action::Send { id, endpoint, until } => {
                 return route::forward(self, core, id, endpoint, until);
@@ -227,7 +288,7 @@
                 let timer = async move {
                     Timer::after(after).await;
                     if let Some(sidecar) = sidecar.upgrade() {
-                        sidecar.feed(Event::Timer { token });
+                        sidecar.feed_to(Some(tuning), Event::Timer { token });
                     }
                 };
                 self.executor.spawn(timer).detach();
@@ -241,3 +302,24 @@
         None
     }
 }
+
+impl Core {
+    /// The balancer of those settings; the newest where they are gone.
+    fn balancer(&mut self, tuning: u32) -> &mut Balancer {
+        let at = self.balancers.iter().position(|(n, _)| *n == tuning);
+        let last = self.balancers.len() - 1;
+        &mut self.balancers[at.unwrap_or(last)].1
+    }
+
+    /// The number of the settings in force.
+    fn newest(&self) -> u32 {
+        self.balancers.back().map_or(0, |(n, _)| *n)
+    }
+
+    /// Drops the balancers of earlier settings that hold no open flow.
+    fn retire(&mut self) {
+        let newest = self.newest();
+        let flows = &self.flows;
+        self.balancers.retain(|(n, _)| *n == newest || flows.values().any(|e| e.tuning == *n));
+    }
+}
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Every listed target in the balancer's terms, as it holds now: for a balancer that begins.
+    pub fn all(&self) -> Vec<Endpoint> {
+        self.targets.values().map(|e| self.endpoint(e)).collect()
+    }
+
     /// Takes out a target that an earlier process of this sidecar had taken out, listed or not.
     pub fn restore_out(&mut self, id: EndpointId) -> Option<Endpoint> {
         self.remember(id);
--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -13,7 +13,6 @@
 use cottonpoint_codec::buffer::Buffer;
 use cottonpoint_codec::http::{self, Fault, Framing, Head};
 use cottonpoint_core::{Executor, Fate, FixedResponse, NewFlow, Sidecar, Step};
-use cottonpoint_decide::ClassId;
 use cottonpoint_settings::Platform;
 use futures_lite::{AsyncWriteExt, StreamExt, future};
 use std::cell::{Cell, RefCell};
@@ -97,7 +96,7 @@
 pub struct Clients {
     sidecar: Rc<Sidecar>,
     servers: Rc<Servers>,
-    platform: Platform,
+    platform: RefCell<Platform>,
     executor: Executor,
     /// Connections served at most.
     connections: Cell<usize>,
@@ -125,7 +124,7 @@
         Rc::new(Clients {
             sidecar,
             servers,
-            platform,
+            platform: platform.into(),
             executor,
             connections: Cell::new(connections),
             open: Cell::new(0),
@@ -193,6 +192,11 @@
         }
     }
 
+    /// Requests are taken in by these settings from now on: their classes, tenants and rules.
+    pub fn set_platform(&self, platform: Platform) {
+        *self.platform.borrow_mut() = platform;
+    }
+
     /// From now on so many connections are served at most.
     pub fn set_bound(&self, connections: usize) {
         self.connections.set(connections);
@@ -359,15 +363,16 @@
                 false => Reply::plain(503, "not ready"),
             });
         }
-        let taken = match take_in(&self.platform, &head, body) {
+        let taken = take_in(&self.platform.borrow(), &head, body);
+        let taken = match taken {
             Ok(taken) => taken,
             Err(reply) => return Some(reply),
         };
         // A flow needs a connection to a target: where none may be left, trying again does no harm.
         if self.ids.borrow().len() >= self.servers.bound() {
-            let retry_after = self.platform.max_retry_after;
+            let retry_after = self.platform.borrow().max_retry_after;
             let reply = Reply::fixed(FixedResponse::Refused { retry_after });
-            self.count(taken.class, Some(&reply));
+            self.count(&taken.class_name, Some(&reply));
             return Some(reply);
         }
         if !self.ids.borrow_mut().insert(taken.id.clone()) {
@@ -375,22 +380,18 @@
         }
         let reply = self.follow(&taken, stream, buffer).await;
         self.ids.borrow_mut().remove(&taken.id);
-        self.count(taken.class, reply.as_ref());
+        self.count(&taken.class_name, reply.as_ref());
         reply
     }
 
-    fn class_name(&self, class: ClassId) -> &str {
-        self.platform.classes.get(usize::from(class.0)).map_or("", String::as_str)
-    }
-
     /// Counts a flow's final answer for its class; one whose client has gone counts as failed.
-    fn count(&self, class: ClassId, reply: Option<&Reply>) {
+    fn count(&self, class: &str, reply: Option<&Reply>) {
         let fate = match reply.map(|r| r.status) {
             Some(200..=299) => Fate::Fulfilled,
             Some(429 | 503) => Fate::Throttled,
             _ => Fate::Faulted,
         };
-        self.sidecar.counts().ended_as(self.class_name(class), fate);
+        self.sidecar.counts().ended_as(class, fate);
     }
 
     /// Takes a flow through its stages.
@@ -401,7 +402,7 @@
         buffer: &mut Buffer,
     ) -> Option<Reply> {
         let clock = self.sidecar.clock();
-        let class = self.class_name(taken.class);
+        let class = taken.class_name.as_str();
         let due = clock.now() + taken.left.saturating_sub(TRAVEL);
         let flow = self.sidecar.admit(NewFlow { class: taken.class, tenant: taken.tenant, due });
         let stages = async {
--- a/crates/net/src/clients/take_in.rs
+++ b/crates/net/src/clients/take_in.rs
@@ -13,6 +13,8 @@
 pub struct TakenIn {
     /// Its class.
     pub class: ClassId,
+    /// The name of its class, as its figures are counted.
+    pub class_name: String,
     /// Its tenant.
     pub tenant: Option<TenantId>,
     /// Its id; no other open flow may have the same.
@@ -107,7 +109,8 @@
         None => rules.give_up,
     };
     let outgoing = Outgoing { head: passed_on(head, body.len()), body };
-    Ok(TakenIn { class: ClassId(class as u16), tenant, id: id.to_owned(), left, outgoing })
+    let class_name = platform.classes[class].clone();
+    Ok(TakenIn { class: ClassId(class as u16), class_name, tenant, id: id.to_owned(), left, outgoing })
 }
 
 /// Headers that concern one connection only, or are stated anew.
--- a/crates/program/src/config.rs
+++ b/crates/program/src/config.rs
@@ -143,13 +143,17 @@
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
             ("console", self.console != new.console),
-            ("settings", self.platform != new.platform),
         ];
+        let retuned = self.platform != new.platform;
         let fixed: Vec<_> = fixed.iter().filter(|(_, changed)| *changed).map(|(key, _)| *key).collect();
         self.discovery = new.discovery;
+        self.platform = new.platform;
         self.client_connections = new.client_connections;
         self.target_connections = new.target_connections;
         let mut said = format!("new configuration, discovery at {}", self.discovery);
+        if retuned {
+            said += &format!("; new settings, classes {}", self.platform.classes.join(", "));
+        }
         if !fixed.is_empty() {
             said += &format!("; changes at the next start only: {}", fixed.join(", "));
         }
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -147,6 +147,7 @@
         executor.spawn(cottonpoint_net::console::serve(listener, executor.clone(), answer))
     });
     let counts = sidecar.clone();
+    let classes = console.classes.clone();
     let watched = Watched { sidecar, clients: clients.clone(), servers: servers.clone() };
     let _metrics = metrics.map(|listener| executor.spawn(watched.serve(listener)));
 
@@ -159,6 +160,12 @@
                 Word::Stop => drop(stop.try_send(())),
                 Word::Reload(Ok(config)) => {
                     counts.counts().configuration(true);
+                    if config.platform != current.platform {
+                        // Open flows keep the rules that they came in with; new ones take these.
+                        counts.retune(config.platform.balancer.clone());
+                        bounded.set_platform(config.platform.clone());
+                        *classes.borrow_mut() = config.platform.classes.clone();
+                    }
                     if config.discovery != current.discovery {
                         let _ = moves.try_send(config.discovery);
                     }
--- a/crates/program/tests/sidecar/console.rs
+++ b/crates/program/tests/sidecar/console.rs
@@ -136,3 +136,33 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     sidecar.ends();
 }
+
+/// Guards against: settings given at SIGHUP that wait for the next start (a class added is unknown, one
+/// dropped still served), and a flow open at the reload that loses its answer.
+#[test]
+fn classes_given_at_a_reload_are_served_at_once_and_open_flows_finish() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let lines = [line("t0", target.address, "active")];
+    let known = list(1, true, &lines);
+    let (sidecar, console) = Running::with_console(&config(discovery.address, &known, 1024), None);
+    let mut client = sidecar.client();
+    send(&mut client, &look(0));
+    let mut open = target.accept();
+    // `order` gives way to `frame`, which is safe to repeat.
+    let retuned = config(discovery.address, &known, 1024).replace(
+        r#""name":"order","semantics":"idempotency_key""#,
+        r#""name":"frame","semantics":"read_like""#,
+    );
+    sidecar.reload(&retuned);
+    while figures(console)["cfg_accepted"] != 1 {}
+    open.reply("200 OK", "", "before");
+    assert!(message(&mut client).ends_with("before"), "the open flow has its answer");
+    let frame = LOOK.replace("/look/7", "/frame/7").replace("X-Service-Class: look\n", "");
+    send(&mut client, &frame);
+    assert!(open.next().starts_with("GET /frame/7"), "the new class goes to the target");
+    open.reply("200 OK", "", "framed");
+    assert!(message(&mut client).ends_with("framed"), "the new class is served");
+    assert!(sidecar.ask(ORDER).starts_with("HTTP/1.1 404"), "the dropped class is unknown");
+    assert_eq!(figures(console)["operations"]["frame"]["fulfilled"], 1);
+    sidecar.ends();
+}
