Review: one halt of unwanted sends, no allocation per event, one whole-file writer

Mended: the loop that halts sends not begun to targets that want nothing new stood twice in the core (list and ban): now Core::halt_unwanted. feed_to built a Vec of balancer numbers for every event on the hot path: now it walks the balancers in place. The file of endpoints out and the file of the newest process each wrote beside and renamed: now state::write_whole. The ban file, followed five times a second, is read and parsed only when its time of change moves.

Left as it is: the class name cloned into each flow for its figures (a reload renumbers classes, so the count goes by name); retire scans the flows only while an earlier balancer is held.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -125,13 +125,7 @@
         let endpoints = {
             let mut core = self.core.borrow_mut();
             let endpoints = core.group.update(kind, entries);
-            for entry in core.flows.values() {
-                if let Some((halt, target)) = entry.forwards.last()
-                    && !core.group.takes_work(*target)
-                {
-                    let _ = halt.try_send(Halt::TargetLeft);
-                }
-            }
+            core.halt_unwanted();
             endpoints
         };
         self.counts.list(true);
@@ -156,13 +150,7 @@
         let endpoint = {
             let mut core = self.core.borrow_mut();
             let endpoint = change(&mut core.group)?;
-            for entry in core.flows.values() {
-                if let Some((halt, target)) = entry.forwards.last()
-                    && !core.group.takes_work(*target)
-                {
-                    let _ = halt.try_send(Halt::TargetLeft);
-                }
-            }
+            core.halt_unwanted();
             endpoint
         };
         if let Some(endpoint) = endpoint {
@@ -242,8 +230,12 @@
     /// queues steps and starts timers, so it never comes back here while the core is borrowed.
     fn feed_to(self: &Rc<Self>, tuning: Option<u32>, event: Event<'_>) {
         let mut core = self.core.borrow_mut();
-        let tunings: Vec<u32> = core.balancers.iter().map(|(n, _)| *n).collect();
-        for n in tunings.into_iter().filter(|n| tuning.is_none_or(|t| t == *n)) {
+        // Balancers come and go only at a reload and after a feed, never during one.
+        for at in 0..core.balancers.len() {
+            let n = core.balancers[at].0;
+            if tuning.is_some_and(|t| t != n) {
+                continue;
+            }
             let mut follow_ups = VecDeque::new();
             let mut actions = std::mem::take(&mut core.actions);
             let now = self.clock.now();
@@ -304,6 +296,17 @@
 }
 
 impl Core {
+    /// Halts each send that has not begun to a target that wants nothing new.
+    fn halt_unwanted(&self) {
+        for entry in self.flows.values() {
+            if let Some((halt, target)) = entry.forwards.last()
+                && !self.group.takes_work(*target)
+            {
+                let _ = halt.try_send(Halt::TargetLeft);
+            }
+        }
+    }
+
     /// The balancer of those settings; the newest where they are gone.
     fn balancer(&mut self, tuning: u32) -> &mut Balancer {
         let at = self.balancers.iter().position(|(n, _)| *n == tuning);
--- a/crates/program/src/console.rs
+++ b/crates/program/src/console.rs
@@ -20,6 +20,8 @@
 pub struct TakenOut {
     names: RefCell<BTreeSet<String>>,
     file: Option<PathBuf>,
+    /// When the file was last read.
+    seen: Cell<Option<std::time::SystemTime>>,
 }
 
 impl TakenOut {
@@ -28,13 +30,19 @@
         let file = state.map(|dir| dir.join(OUT_FILE));
         let text = file.as_ref().and_then(|f| std::fs::read_to_string(f).ok());
         let names: BTreeSet<String> = text.and_then(|t| serde_json::from_str(&t).ok()).unwrap_or_default();
-        TakenOut { names: names.into(), file }
+        TakenOut { names: names.into(), file, seen: Cell::new(None) }
     }
 
     /// What the file says now, where another process of the sidecar (an older or newer version beside this
     /// one) has changed it: the names to take out and to put back. `None` if it is as last seen.
     pub fn changed(&self) -> Option<(Vec<String>, Vec<String>)> {
-        let text = std::fs::read_to_string(self.file.as_ref()?).ok()?;
+        let file = self.file.as_ref()?;
+        // Read again only when written since: this is asked five times a second.
+        let modified = std::fs::metadata(file).and_then(|m| m.modified()).ok();
+        if modified.is_some() && self.seen.replace(modified) == modified {
+            return None;
+        }
+        let text = std::fs::read_to_string(file).ok()?;
         let names: BTreeSet<String> = serde_json::from_str(&text).ok()?;
         let mut held = self.names.borrow_mut();
         if *held == names {
@@ -63,9 +71,7 @@
     fn save(&self) -> io::Result<()> {
         let Some(file) = &self.file else { return Ok(()) };
         let text = serde_json::to_string(&*self.names.borrow()).map_err(io::Error::other)?;
-        let beside = file.with_extension(format!("{}.new", std::process::id()));
-        std::fs::write(&beside, text)?;
-        std::fs::rename(&beside, file)
+        crate::state::write_whole(file, &text)
     }
 }
 
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod serve;
+pub mod state;
 
 pub use cottonpoint_core as sidecar;
 pub use cottonpoint_decide::*;
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -226,9 +226,7 @@
 
     /// This process is the newest from now on.
     pub fn announce(&self) -> io::Result<()> {
-        let beside = self.file.with_extension(format!("{}.new", std::process::id()));
-        std::fs::write(&beside, std::process::id().to_string())?;
-        std::fs::rename(&beside, &self.file)
+        crate::state::write_whole(&self.file, &std::process::id().to_string())
     }
 
     /// Whether another process of the sidecar has announced itself and still runs.
--- a/crates/program/tests/sidecar/console.rs
+++ b/crates/program/tests/sidecar/console.rs
@@ -5,6 +5,16 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+/// A sidecar with a console and one target that answers all; discovery is kept, silent.
+fn serving_one_target() -> (Running, std::net::SocketAddr, Peer) {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let lines = [line("t0", target.address, "active")];
+    let (sidecar, console) =
+        Running::with_console(&config(discovery.address, &list(1, true, &lines), 1024), None);
+    let _seen = target.echo();
+    (sidecar, console, discovery)
+}
+
 fn look(n: usize) -> String {
     LOOK.replace("X-Correlation-Id: c1", &format!("X-Correlation-Id: look-{n}"))
 }
@@ -13,11 +23,7 @@
 /// keeps the next one waiting.
 #[test]
 fn the_console_answers_each_call_with_true_figures() {
-    let (target, discovery) = (Peer::new(), Peer::new());
-    let lines = [line("t0", target.address, "active")];
-    let (sidecar, console) =
-        Running::with_console(&config(discovery.address, &list(1, true, &lines), 1024), None);
-    let _seen = target.echo();
+    let (sidecar, console, discovery) = serving_one_target();
     // A caller that says nothing holds nobody up.
     let _silent = TcpStream::connect(console).expect("the console listens");
     assert_eq!(call(console, "HEALTH"), "+OK\n");
@@ -88,11 +94,7 @@
 /// that does not make it ready again.
 #[test]
 fn leave_sends_clients_away_and_join_takes_them_again() {
-    let (target, discovery) = (Peer::new(), Peer::new());
-    let lines = [line("t0", target.address, "active")];
-    let (sidecar, console) =
-        Running::with_console(&config(discovery.address, &list(1, true, &lines), 1024), None);
-    let _seen = target.echo();
+    let (sidecar, console, _discovery) = serving_one_target();
     let ready = "GET /health/ready HTTP/1.1\nHost: n0\n\n";
     assert!(sidecar.ask(ready).starts_with("HTTP/1.1 200"));
     let mut kept = sidecar.client();
