--- a/crates/decide/src/policy/targets.rs
+++ b/crates/decide/src/policy/targets.rs
@@ -126,14 +126,14 @@
         from + (1.0 - from) * age / warm
     }
 
-    /// Pauses a failed endpoint as long as its failure took to show, doubled in a row (one that hangs costs
-    /// an aim a try, i753040); not while half of its pool (the hand, or those away) is paused: that is all's.
+    /// Pauses an endpoint after a failure that speaks against it, for as long as the failure took to show,
+    /// doubled with each in a row: an endpoint that hangs costs a whole aim each time it is tried (i753040).
+    /// While half the hand is paused the trouble is everybody's, and no reason to pause anybody.
     pub(super) fn fault(&mut self, endpoint: EndpointId, took: Duration) {
         let Some(&i) = self.index.get(&endpoint) else { return };
-        let pool = if self.hand.contains(&i) { &self.hand } else { &self.away };
-        let paused = pool.iter().filter(|&&h| self.servers[h].paused_until > self.now).count();
-        let (s, dealt) = (&mut self.servers[i], pool.len());
-        if s.paused_until > self.now || 2 * paused >= dealt {
+        let paused = self.hand.iter().filter(|&&h| self.servers[h].paused_until > self.now).count();
+        let s = &mut self.servers[i];
+        if s.paused_until > self.now || 2 * paused >= self.hand.len() {
             return;
         }
         let pause = took.max(PAUSE_SHORTEST) * (1 << s.strikes.min(PAUSE_DOUBLINGS));
