After SIGTERM serve on the connections clients keep, some kept free, until SIGKILL is near

At fault: serve.rs, clients.leave() right at the word to stop.

Change: crates/core/src/stop.rs decides, without I/O: served on until 1 s before the last answer (min(longest deadline, 3 s) + 0.4 s after SIGTERM), each flow taken after the word due by that, and from 0.1 s on a request that leaves fewer than 3 connections free (or a quarter of the open ones) is refused with Retry-After 0.1 s. With a newer process beside it, clients are given back at once as before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod counts;
 mod route;
+mod stop;
 mod targets;
 
 pub use admit::{Flow, NewFlow};
@@ -16,6 +17,7 @@
 pub use clock::Clock;
 pub use counts::{ClassCounts, Counts, Fate};
 pub use route::{FixedResponse, Halt, Step};
+pub use stop::Stop;
 pub use targets::{Group, Lifecycle, Listed, NotListed, Target, target_id};
 
 use async_channel::{Receiver, Sender};
--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -12,7 +12,7 @@
 use async_io::{Async, Timer};
 use cottonpoint_codec::buffer::Buffer;
 use cottonpoint_codec::http::{self, Fault, Framing, Head};
-use cottonpoint_core::{Executor, Fate, FixedResponse, NewFlow, Sidecar, Step};
+use cottonpoint_core::{Executor, Fate, FixedResponse, NewFlow, Sidecar, Step, Stop};
 use cottonpoint_settings::Platform;
 use futures_lite::{AsyncWriteExt, StreamExt, future};
 use std::cell::{Cell, RefCell};
@@ -108,6 +108,8 @@
     next: Cell<u64>,
     leaving: Cell<bool>,
     stopping: Cell<bool>,
+    /// Set once the process has been told to stop and serves on for a while.
+    stop: Cell<Option<Stop>>,
     closed: (Sender<()>, Receiver<()>),
     last_call: (Sender<()>, Receiver<()>),
 }
@@ -133,6 +135,7 @@
             next: Cell::new(0),
             leaving: Cell::new(false),
             stopping: Cell::new(false),
+            stop: Cell::new(None),
             closed: async_channel::bounded(1),
             last_call: async_channel::bounded(1),
         })
@@ -202,8 +205,20 @@
         self.connections.set(connections);
     }
 
+    /// The word to stop has come: it is not ready from now on, but serves on the connections that clients keep
+    /// until [`Clients::leave`], each new flow due by the stop's last answer.
+    pub fn stop(&self) -> Stop {
+        let classes = &self.platform.borrow().balancer.classes;
+        let longest = classes.iter().map(|c| c.give_up).max().unwrap_or_default();
+        let stop = Stop::new(self.sidecar.clock().now(), longest);
+        self.stop.set(Some(stop));
+        stop
+    }
+
     /// From now on it is not ready, and asks each connection to close after its next answer.
     pub fn leave(&self) {
+        let now = self.sidecar.clock().now();
+        self.stop.set(self.stop.get().map(|stop| stop.give_back(now)));
         self.stopping.set(true);
     }
 
@@ -358,7 +373,8 @@
         body: Vec<u8>,
     ) -> Option<Reply> {
         if head.line[1] == "/health/ready" {
-            return Some(match !self.leaving() && self.sidecar.has_targets() {
+            let ready = !self.leaving() && self.stop.get().is_none();
+            return Some(match ready && self.sidecar.has_targets() {
                 true => Reply::plain(200, "ready"),
                 false => Reply::plain(503, "not ready"),
             });
@@ -369,8 +385,9 @@
             Err(reply) => return Some(reply),
         };
         // A flow needs a connection to a target: where none may be left, trying again does no harm.
-        if self.ids.borrow().len() >= self.servers.bound() {
-            let retry_after = self.platform.borrow().max_retry_after;
+        let full = self.ids.borrow().len() >= self.servers.bound();
+        let full = full.then(|| self.platform.borrow().max_retry_after);
+        if let Some(retry_after) = full.or_else(|| self.leaves_too_few().map(Some)) {
             let reply = Reply::fixed(FixedResponse::Refused { retry_after });
             self.count(&taken.class_name, Some(&reply));
             return Some(reply);
@@ -384,6 +401,14 @@
         reply
     }
 
+    /// While only kept connections are in use before a stop: when to come back, for a request that leaves too few
+    /// of them free.
+    fn leaves_too_few(&self) -> Option<Duration> {
+        let stop = self.stop.get()?;
+        let free = self.closable.borrow().values().filter(|c| c.stage == Stage::Kept).count();
+        stop.refuses(self.sidecar.clock().now(), free, self.open())
+    }
+
     /// Counts a flow's final answer for its class; one whose client has gone counts as failed.
     fn count(&self, class: &str, reply: Option<&Reply>) {
         let fate = match reply.map(|r| r.status) {
@@ -404,6 +429,7 @@
         let clock = self.sidecar.clock();
         let class = taken.class_name.as_str();
         let due = clock.now() + taken.left.saturating_sub(TRAVEL);
+        let due = self.stop.get().map_or(due, |stop| stop.due(due));
         let flow = self.sidecar.admit(NewFlow { class: taken.class, tenant: taken.tenant, due });
         let stages = async {
             loop {
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -19,11 +19,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// New connections keep coming for up to 0.4 s after the word to stop; what came more than 0.7 s after it
-/// need not be answered.
-const STILL_COMING: Duration = Duration::from_millis(700);
-/// By then, connections between requests are closed: what crosses that is sent again, while we still accept.
+/// Beside a newer process, connections between requests are closed this long after the word to stop: what
+/// crosses that is sent again, to the newer one.
 const CLOSE_IDLE: Duration = Duration::from_millis(450);
+/// How often a process that gives its clients back looks for connections that stand idle.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
 
 /// How often the file of endpoints out by hand is read again, for what a process beside this one wrote: well
 /// within the grace of a drain.
@@ -78,8 +78,8 @@
 ) -> io::Result<()> {
     let platform = config.platform.clone();
     let names = Names { zones: platform.zones.clone(), kinds: platform.kinds.clone() };
-    let (sidecar, asked) =
-        Sidecar::new(platform.balancer.clone(), config.seed, Clock::start(), executor.clone());
+    let clock = Clock::start();
+    let (sidecar, asked) = Sidecar::new(platform.balancer.clone(), config.seed, clock, executor.clone());
     let terms = Terms {
         connect_timeout: platform.connect_timeout,
         // Well before the other side closes it under a request.
@@ -185,29 +185,37 @@
     let _ = stopped.recv().await;
     stopping.set(true);
 
+    let stop = clients.stop();
+    let followed = || succession.as_ref().is_some_and(Succession::followed);
+    let now = || clock.now();
+    // Nobody else may be there for this process's clients: it serves on for as long as it may.
+    while !followed() && !stop.is_over(now(), clients.open()) && now() < stop.gives_back_at() {
+        let look = stop.gives_back_at().min(now() + FOLLOW_EVERY);
+        one_closed_or(&clients, Timer::at(clock.instant(look))).await;
+    }
     clients.leave();
-    if succession.as_ref().is_some_and(Succession::followed) {
+    if followed() {
         // A newer process shares the clients' address: what comes goes there from now on.
         tracing::info!("a newer process serves beside this one: it takes all new connections");
         clients.last_call();
+        Timer::after(CLOSE_IDLE).await;
     }
-    Timer::after(CLOSE_IDLE).await;
-    clients.close_idle();
-    Timer::after(STILL_COMING - CLOSE_IDLE).await;
-    loop {
+    while !stop.is_over(now(), clients.open()) {
         clients.close_idle();
-        if clients.open() == 0 {
-            break;
-        }
-        future::or(clients.one_closed(), async {
-            Timer::after(Duration::from_millis(50)).await;
-        })
-        .await;
+        one_closed_or(&clients, Timer::after(LOOK_AGAIN)).await;
     }
     drop((accept, heed));
     Ok(())
 }
 
+/// Waits until a connection has closed, or for the timer.
+async fn one_closed_or(clients: &Clients, timer: Timer) {
+    future::or(clients.one_closed(), async {
+        timer.await;
+    })
+    .await;
+}
+
 /// Processes of the sidecar that follow one another on the same clients' address, as the state directory
 /// tells: each announces itself once it listens, so that an older one, told to stop, knows that a newer one
 /// takes the clients (an upgrade) rather than nobody (a restart).
