Write endpoints out by hand on a thread of their own: the disk held up all flows for 1 s

A probe on the file's writes and on the lag of the loop (since removed): write 12 to 720 us, rename over the old file 16 to 525 ms, twice in a row 0.96 s; at each of them the loop lagged by as much (235, 409, 504, 947 ms), in all sidecars at the same moment. At fault: state.rs write_whole, called by console.rs TakenOut::save on the one thread that serves clients, within the console's answer.

Change: state::Writer writes the newest text on a thread started with the first; while a text is on its way the file is not followed, or an older list would lift a ban; dropped at the end of the process it writes what waits. Not taken: the blocking pool of a library (the newest-only rule and the order need more than it gives), and writing in place (a reader could meet half a file).

Test: a_slow_disk_holds_up_nobody_and_the_newest_text_is_kept (a pipe nobody reads).

--- a/crates/program/src/console.rs
+++ b/crates/program/src/console.rs
@@ -1,13 +1,13 @@
 //! The console's calls, carried out on the running sidecar: its figures, endpoints out by hand, drains.
 //! Endpoints taken out are kept in a file under `$TMPDIR`, so that a new process of the sidecar keeps them out.
 
+use crate::state::Writer;
 use cottonpoint_core::{Sidecar, target_id};
 use cottonpoint_net::clients::Clients;
 use cottonpoint_net::console::{Call, answer_line};
 use serde_json::{Map, Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
-use std::io;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
@@ -19,7 +19,8 @@
 /// The endpoints taken out by hand, by name, and where they are kept.
 pub struct TakenOut {
     names: RefCell<BTreeSet<String>>,
-    file: Option<PathBuf>,
+    file: Option<Writer>,
+    path: Option<PathBuf>,
     /// When the file was last read.
     seen: Cell<Option<std::time::SystemTime>>,
 }
@@ -27,16 +28,20 @@
 impl TakenOut {
     /// Those that the file names, if there is a state directory and a readable file in it.
     pub fn load(state: Option<&Path>) -> TakenOut {
-        let file = state.map(|dir| dir.join(OUT_FILE));
-        let text = file.as_ref().and_then(|f| std::fs::read_to_string(f).ok());
+        let path = state.map(|dir| dir.join(OUT_FILE));
+        let text = path.as_ref().and_then(|f| std::fs::read_to_string(f).ok());
         let names: BTreeSet<String> = text.and_then(|t| serde_json::from_str(&t).ok()).unwrap_or_default();
-        TakenOut { names: names.into(), file, seen: Cell::new(None) }
+        let file = path.clone().map(Writer::new);
+        TakenOut { names: names.into(), file, path, seen: Cell::new(None) }
     }
 
     /// What the file says now, where another process of the sidecar (an older or newer version beside this
     /// one) has changed it: the names to take out and to put back. `None` if it is as last seen.
     pub fn changed(&self) -> Option<(Vec<String>, Vec<String>)> {
-        let file = self.file.as_ref()?;
+        let (writer, file) = (self.file.as_ref()?, self.path.as_ref()?);
+        if writer.is_behind() {
+            return None; // What it says is older than what the console was told here.
+        }
         // Read again only when written since: this is asked five times a second.
         let modified = std::fs::metadata(file).and_then(|m| m.modified()).ok();
         if modified.is_some() && self.seen.replace(modified) == modified {
@@ -59,19 +64,12 @@
         self.names.borrow().iter().cloned().collect()
     }
 
-    fn set(&self, name: &str, out: bool) -> io::Result<()> {
-        let changed = {
-            let mut names = self.names.borrow_mut();
-            if out { names.insert(name.to_owned()) } else { names.remove(name) }
-        };
-        if changed { self.save() } else { Ok(()) }
-    }
-
-    /// Written whole to a file beside, then put in place: a reader sees the old set or the new.
-    fn save(&self) -> io::Result<()> {
-        let Some(file) = &self.file else { return Ok(()) };
-        let text = serde_json::to_string(&*self.names.borrow()).map_err(io::Error::other)?;
-        crate::state::write_whole(file, &text)
+    fn set(&self, name: &str, out: bool) {
+        let mut names = self.names.borrow_mut();
+        let changed = if out { names.insert(name.to_owned()) } else { names.remove(name) };
+        if let Some(file) = self.file.as_ref().filter(|_| changed) {
+            file.write(json!(*names).to_string());
+        }
     }
 }
 
@@ -135,13 +133,8 @@
         if self.sidecar.set_out(target_id(name), out).is_err() {
             return answer_line(Err(format!("no endpoint {} was ever listed", name.escape_debug())));
         }
-        match self.out.set(name, out) {
-            Ok(()) => answer_line(Ok(String::new())),
-            Err(e) => {
-                tracing::warn!(endpoint = name, %e, "endpoints out by hand could not be kept for the next start");
-                answer_line(Ok(format!("(not kept for the next start: {e})")))
-            }
-        }
+        self.out.set(name, out);
+        answer_line(Ok(String::new()))
     }
 
     /// The figures as one JSON object: every class of the settings in force, and those counted before.
--- a/crates/program/src/state.rs
+++ b/crates/program/src/state.rs
@@ -1,11 +1,105 @@
 //! What outlives a process of the sidecar, in the state directory (`$TMPDIR`).
 
+use async_channel::{Receiver, Sender};
+use std::cell::{Cell, RefCell};
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
 
 /// Writes a file whole to a name beside it, then puts it in place: a reader sees the old text or the new.
 pub fn write_whole(file: &Path, text: &str) -> io::Result<()> {
-    let beside = file.with_extension(format!("{}.new", std::process::id()));
+    let beside = beside(file);
     std::fs::write(&beside, text)?;
     std::fs::rename(&beside, file)
 }
+
+fn beside(file: &Path) -> PathBuf {
+    file.with_extension(format!("{}.new", std::process::id()))
+}
+
+/// A text to write, and its number.
+type Text = (u64, String);
+
+/// Writes one file whole, time and again, on a thread of its own: to put a file in another's place can take the
+/// disk a second, and the one thread that serves clients must not wait for it. Of texts that wait only the newest
+/// is written. Dropped, it first writes what waits.
+pub struct Writer {
+    file: PathBuf,
+    texts: Sender<Text>,
+    waiting: Receiver<Text>,
+    /// The thread, from the first text on.
+    thread: RefCell<Option<JoinHandle<()>>>,
+    /// The number of the newest text, and of the newest one written (or given up).
+    newest: Cell<u64>,
+    written: Arc<AtomicU64>,
+}
+
+impl Writer {
+    /// Nothing is written yet.
+    pub fn new(file: PathBuf) -> Writer {
+        let (texts, waiting) = async_channel::bounded(1);
+        let (thread, newest, written) = Default::default();
+        Writer { file, texts, waiting, thread, newest, written }
+    }
+
+    /// Has the text written soon; what cannot be written is logged.
+    pub fn write(&self, text: String) {
+        let number = self.newest.get() + 1;
+        self.newest.set(number);
+        let _ = self.texts.force_send((number, text));
+        self.thread.borrow_mut().get_or_insert_with(|| {
+            let (file, texts, written) = (self.file.clone(), self.waiting.clone(), self.written.clone());
+            std::thread::spawn(move || {
+                while let Ok((number, text)) = texts.recv_blocking() {
+                    if let Err(e) = write_whole(&file, &text) {
+                        tracing::warn!(file = %file.display(), %e, "not kept for the next start");
+                    }
+                    written.store(number, Ordering::Release);
+                }
+            })
+        });
+    }
+
+    /// Whether a text is on its way: what the file holds until then is older than what this process knows.
+    pub fn is_behind(&self) -> bool {
+        self.written.load(Ordering::Acquire) != self.newest.get()
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        self.texts.close();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against: the thread that serves clients standing still while the disk takes its time, an older text
+    /// taken for what this process knows, and the newest text lost. The disk is a pipe that nobody reads at first.
+    #[test]
+    fn a_slow_disk_holds_up_nobody_and_the_newest_text_is_kept() {
+        let dir = tempfile::tempdir().expect("a directory");
+        let file = dir.path().join("kept.json");
+        let pipe = beside(&file);
+        let made = std::process::Command::new("mkfifo").arg(&pipe).status().expect("mkfifo runs");
+        assert!(made.success());
+        let writer = Writer::new(file.clone());
+        assert!(!writer.is_behind());
+        for text in ["first", "second", "third"] {
+            writer.write(text.to_owned());
+            assert!(writer.is_behind());
+        }
+        // The disk comes round: whatever was being written goes through the pipe, and the rest to plain files.
+        let read = std::fs::read_to_string(&pipe).expect("a text");
+        drop(writer);
+        let last = if read == "third" { read } else { std::fs::read_to_string(&file).expect("a file") };
+        assert_eq!(last, "third");
+    }
+}
