Peers, the plane: SWIM with Lifeguard's parts as one state machine, formulas in bounds

Sidecars that restart or shed together need to know who else is there. Peers::handle takes packets and wakes and yields sends: a probe each period in a round drawn anew (ping, then through three others, then a suspicion that shrinks with confirmations), local health, refutation under a higher incarnation with the suspect told first, news on packets sent anyway, knocks at members last known and at seeds, full exchanges by Sync/Known in bounded numbers, goodbye and return. What others say is checked value by value and counted (Counts).

Additions to the interface: Update::by names who came to a suspicion by its own probe. Without it a suspicion passed on by many looks like one confirmed by many, and the suspicion time would be at its least at once. Left out: a bit for each update of a packet in place of it, since confirmations would then reach only those that the accuser itself writes to. An update is 81 bytes at most by it, so 13 ride in a packet (UPDATES_LIMIT, PACKET_LIMIT, SEAL_ROOM).

News of one member is wholly ordered (incarnation, standing, boot, address, name): order, repetition and lateness of packets make no difference in the end. Word of a death out of another's table only makes a suspect: after a split it would else fell the half that lives here.

--- a/crates/peers/src/interface.rs
+++ b/crates/peers/src/interface.rs
@@ -13,6 +13,14 @@
 pub const NAME_LIMIT: usize = 32;
 /// Members held at most, this one included, whatever their standing; news of further ones is counted and dropped.
 pub const MEMBERS_LIMIT: usize = 1024;
+/// The longest packet in bytes as sent, seal and all: the least that any IPv4 path in use carries unsplit, with
+/// room (RFC 9000, 14).
+pub const PACKET_LIMIT: usize = 1200;
+/// Bytes of a packet kept for the seal (version, cluster and a MAC of 16 bytes).
+pub const SEAL_ROOM: usize = 24;
+/// Updates in one packet at most. The longest update takes 81 bytes by postcard (10 + 33 + 7 + 10 + 10 + 1 + 10),
+/// the longest body 23, the count 1: (1200 - 24 - 81 - 23 - 1) / 81.
+pub const UPDATES_LIMIT: usize = 13;
 
 /// All that a member is told at its start.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -63,6 +71,9 @@
     pub boot: u64,
     /// How it stands.
     pub standing: Standing,
+    /// Who says so: of a suspicion the member whose own probe went unanswered, of all else (and where that is not
+    /// known) the member itself. Tells suspicions that several came to by themselves from one that was passed on.
+    pub by: MemberId,
 }
 
 /// What a packet is for.
@@ -176,3 +187,49 @@
     /// How unwell this member itself is: 0 is well; its own waits are longer by that many times.
     pub unwell: u32,
 }
+
+/// What has happened so far, in counts that only grow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Members probed by a direct ping.
+    pub pings: u64,
+    /// Probes answered, directly or through others.
+    pub acks: u64,
+    /// Helpers that said they had no answer either.
+    pub nacks: u64,
+    /// Pings sent on behalf of others.
+    pub helped: u64,
+    /// Pings to members last known, to suspects and to seeds.
+    pub knocks: u64,
+    /// Suspicions that this member came to by its own probe.
+    pub suspicions: u64,
+    /// Suspicions that ran out here: members held last known by this one's own word.
+    pub deaths: u64,
+    /// Times this member spoke up against news of its own being suspected, last known or gone.
+    pub refutations: u64,
+    /// Packets of another process by this member's name, and times this member spoke up because of one: a few after
+    /// a restart; a count that goes on growing means two live processes of one name.
+    pub namesakes: u64,
+    /// Full exchanges asked for.
+    pub syncs: u64,
+    /// Full exchanges given.
+    pub given: u64,
+    /// Full exchanges and pings for others withheld, because too many were asked for at once.
+    pub withheld: u64,
+    /// News of a member dropped because the table is full.
+    pub full: u64,
+    /// Members forgotten for age or to make room.
+    pub forgotten: u64,
+    /// Packets and updates dropped for a value that no honest member sends: a long name, an address nobody can
+    /// have, this member's own id, more updates than a packet may carry.
+    pub bad: u64,
+    /// Updates dropped for an incarnation that no honest member reaches.
+    pub absurd: u64,
+    /// Wakes that came so late that this process must have stood still.
+    pub late: u64,
+}
+
+/// What is past decides nothing: two states that differ in their counts alone are one to a model checker.
+impl std::hash::Hash for Counts {
+    fn hash<H: std::hash::Hasher>(&self, _: &mut H) {}
+}
--- /dev/null
+++ b/crates/peers/src/probe.rs
@@ -0,0 +1,242 @@
+//! The period: whom to probe, when to ask others, when to suspect, at whom else to knock.
+
+use crate::packets::GOODBYE_ROUNDS;
+use crate::peers::Peers;
+use crate::{Action, Body, MemberId, Standing, Update, bounds};
+use cottonpoint_decide::Time;
+use std::time::Duration;
+
+/// A member with others around it knocks at a seed once in that many periods: for a split in which neither side
+/// remembers the other, and little beside a probe each period.
+const SEED_KNOCKS: usize = 32;
+
+/// The member probed in this period.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Probe {
+    pub(crate) whom: MemberId,
+    pub(crate) number: u32,
+    /// When others are asked; none once they were.
+    pub(crate) direct_until: Option<Time>,
+    /// Those asked that have not answered in any way.
+    pub(crate) silent: Vec<MemberId>,
+    /// All that were asked.
+    pub(crate) helpers: Vec<MemberId>,
+}
+
+/// A ping on behalf of another member.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Helped {
+    pub(crate) number: u32,
+    pub(crate) whom: MemberId,
+    pub(crate) asker: Update,
+    /// The number that the asker knows it by.
+    pub(crate) asked: u32,
+    pub(crate) until: Time,
+}
+
+impl Peers {
+    /// The period as it is kept now.
+    fn stretched(&self, wait: Duration) -> Duration {
+        wait * (self.unwell + 1)
+    }
+
+    /// This process stood still (stopped, swapped out, on a machine asleep) for that long: its silence is its own
+    /// fault, and so may be that of all others. What was under way gets its whole time again, it is unwell by one
+    /// more, and asks for what it missed.
+    pub(crate) fn stood_still(&mut self, late: Duration) {
+        self.counts.late += 1;
+        for suspicion in self.suspicions.values_mut() {
+            suspicion.start = suspicion.start + late;
+        }
+        self.helped.clear();
+        self.set_unwell(self.unwell + 1);
+        if let Some(probe) = self.probe.take() {
+            // Probed anew in the period that starts with this event.
+            self.round.push(probe.whom);
+        }
+        self.next_period = self.now;
+        self.syncs.wanted = self.syncs.wanted.max(1);
+    }
+
+    /// All that is due by now.
+    pub(crate) fn due(&mut self, actions: &mut Vec<Action>) {
+        self.speak_up();
+        let now = self.now;
+        let (late, waiting) = std::mem::take(&mut self.helped).into_iter().partition(|it| it.until <= now);
+        self.helped = waiting;
+        let late: Vec<_> = late;
+        for helped in late {
+            let body = Body::Nack { number: helped.asked };
+            self.send(helped.asker.address, Some(&helped.asker), body, actions);
+        }
+        if self.probe.as_ref().and_then(|probe| probe.direct_until).is_some_and(|until| until <= now) {
+            self.ask_helpers(actions);
+        }
+        self.end_suspicions();
+        if self.next_period <= now {
+            self.period(actions);
+        }
+    }
+
+    /// When something falls due next.
+    pub(crate) fn next_wake(&self) -> Time {
+        let raise = self.own.claim.filter(|_| !self.has_left()).map(|_| self.own.next_raise);
+        let helped = self.helped.iter().map(|helped| helped.until).min();
+        let probe = self.probe.as_ref().and_then(|probe| probe.direct_until);
+        let suspicions = self.suspicions.values().map(|it| it.ends(self.settings.period)).min();
+        [raise, helped, probe, suspicions].into_iter().flatten().fold(self.next_period, Time::min)
+    }
+
+    fn period(&mut self, actions: &mut Vec<Action>) {
+        if self.has_left() {
+            let rest = if self.own.goodbyes > 0 { self.settings.period / 4 } else { self.settings.period };
+            self.next_period = self.now + rest;
+            if self.own.goodbyes > 0 {
+                self.own.goodbyes -= 1;
+                self.goodbye(actions);
+            }
+            return;
+        }
+        self.end_probe();
+        for id in self.table.outdated(self.now) {
+            self.forget(id);
+        }
+        (self.syncs.asked, self.syncs.given) = (false, 0);
+        self.next_period = self.now + self.stretched(self.settings.period);
+        match self.next_in_round() {
+            Some(whom) => {
+                let number = self.chance.number();
+                let direct_until = Some(self.now + self.stretched(self.settings.period / bounds::PARTS));
+                self.probe =
+                    Some(Probe { whom, number, direct_until, silent: Vec::new(), helpers: Vec::new() });
+                self.counts.pings += 1;
+                self.send_to(whom, Body::Ping { number }, actions);
+            }
+            // Nobody is there to be unwell towards.
+            None => self.set_unwell(self.unwell.saturating_sub(1)),
+        }
+        self.knocks(actions);
+        if self.syncs.wanted > 0 {
+            let reachable = self.table.of(|standing| standing == Standing::Reachable);
+            if let Some(id) = self.chance.one_of(&reachable) {
+                self.ask_all(id, actions);
+            }
+        }
+    }
+
+    /// The next member in a round in which each is probed once, in an order drawn anew for each.
+    fn next_in_round(&mut self) -> Option<MemberId> {
+        for _ in 0..2 {
+            while let Some(id) = self.round.pop() {
+                if self.table.standing(id).is_some_and(Standing::is_alive) {
+                    return Some(id);
+                }
+            }
+            self.round = self.table.of(Standing::is_alive);
+            self.chance.shuffle(&mut self.round);
+        }
+        None
+    }
+
+    /// The direct ping was not answered in time: others are asked, drawn at random among those that answer.
+    fn ask_helpers(&mut self, actions: &mut Vec<Action>) {
+        let Some(mut probe) = self.probe.take() else { return };
+        probe.direct_until = None;
+        let mut others = self.table.of(|standing| standing == Standing::Reachable);
+        others.retain(|id| *id != probe.whom);
+        self.chance.shuffle(&mut others);
+        others.truncate(bounds::HELPERS);
+        if let Some(address) = self.table.get(probe.whom).map(|held| held.address) {
+            let body = Body::PingFor { number: probe.number, whom: probe.whom, address };
+            for helper in &others {
+                self.send_to(*helper, body.clone(), actions);
+            }
+        }
+        (probe.silent, probe.helpers) = (others.clone(), others);
+        self.probe = Some(probe);
+    }
+
+    /// The period is over: whoever was probed in it and has not answered is suspected.
+    fn end_probe(&mut self) {
+        let Some(probe) = self.probe.take() else { return };
+        if !self.table.standing(probe.whom).is_some_and(Standing::is_alive) {
+            return;
+        }
+        // Helpers that say that they have no answer either show that this member hears well; silent ones do not.
+        let missed = if probe.helpers.is_empty() { 1 } else { probe.silent.len() as u32 };
+        self.set_unwell(self.unwell + missed);
+        self.suspect(probe.whom);
+    }
+
+    /// The member probed has answered, directly or through a helper; or one pinged for another has.
+    pub(crate) fn acked(&mut self, from: MemberId, number: u32, actions: &mut Vec<Action>) {
+        let ours =
+            |probe: &Probe| probe.number == number && (probe.whom == from || probe.helpers.contains(&from));
+        if self.probe.as_ref().is_some_and(ours) {
+            self.probe = None;
+            self.counts.acks += 1;
+            self.set_unwell(self.unwell.saturating_sub(1));
+        }
+        let helped = self.helped.iter().position(|helped| helped.number == number && helped.whom == from);
+        if let Some(helped) = helped.map(|at| self.helped.swap_remove(at)) {
+            let body = Body::Ack { number: helped.asked };
+            self.send(helped.asker.address, Some(&helped.asker), body, actions);
+        }
+    }
+
+    /// A helper has no answer either.
+    pub(crate) fn nacked(&mut self, from: MemberId, number: u32) {
+        if let Some(probe) = self.probe.as_mut().filter(|probe| probe.number == number)
+            && let Some(at) = probe.silent.iter().position(|id| *id == from)
+        {
+            probe.silent.swap_remove(at);
+            self.counts.nacks += 1;
+        }
+    }
+
+    /// Pings beside the probe, so that splits heal and suspects hear of it: at one that this member suspects by its
+    /// own probe, at one last known, and at a seed while alone (and rarely otherwise).
+    fn knocks(&mut self, actions: &mut Vec<Action>) {
+        let me = self.settings.me;
+        let mine: Vec<_> =
+            self.suspicions.iter().filter(|(_, it)| it.by.contains(&me)).map(|(id, _)| *id).collect();
+        let gone = self.table.of(|standing| standing == Standing::LastKnown);
+        for id in [self.chance.one_of(&mine), self.chance.one_of(&gone)].into_iter().flatten() {
+            self.counts.knocks += 1;
+            let number = self.chance.number();
+            self.send_to(id, Body::Ping { number }, actions);
+        }
+        if (self.table.alive() == 0 || self.chance.once_in(SEED_KNOCKS))
+            && let Some(seed) = self.chance.one_of(&self.settings.seeds.clone())
+        {
+            self.counts.knocks += 1;
+            let number = self.chance.number();
+            self.send(seed, None, Body::Ping { number }, actions);
+        }
+    }
+
+    /// Says goodbye: others hold it as left, and it sends nothing more but goodbyes.
+    pub(crate) fn leave(&mut self) {
+        if !self.has_left() {
+            self.own.news.standing = Standing::Left;
+            self.own.since = self.now;
+            self.own.goodbyes = GOODBYE_ROUNDS;
+            self.next_period = self.now;
+            self.probe = None;
+            self.helped.clear();
+            self.changed();
+        }
+    }
+
+    /// Is a member again, under an incarnation above its goodbye.
+    pub(crate) fn join(&mut self) {
+        if self.has_left() {
+            self.own.news.standing = Standing::Reachable;
+            self.own.since = self.now;
+            let claimed = self.own.claim.take().map_or(0, |claim| claim.incarnation);
+            self.raise(claimed);
+            self.syncs.wanted = self.syncs.wanted.max(1);
+            self.next_period = self.now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/peers/tests/common/mod.rs
@@ -0,0 +1,167 @@
+//! Members over a network in memory, in virtual time: links that lose, delay, repeat and cut.
+
+#![allow(dead_code)]
+
+use cottonpoint_decide::Time;
+use cottonpoint_peers::*;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+/// The period of all members here.
+pub const T: Duration = Duration::from_secs(1);
+
+pub fn address(at: usize) -> SocketAddrV4 {
+    format!("127.0.0.1:{}", 7000 + at).parse().unwrap()
+}
+
+pub fn id(at: usize) -> MemberId {
+    MemberId(at as u64)
+}
+
+/// Settings of the member at a place; the first two are seeds.
+pub fn settings(at: usize) -> Settings {
+    Settings {
+        me: id(at),
+        name: format!("sidecar-{at}"),
+        address: address(at),
+        seeds: vec![address(0), address(1)],
+        incarnation: 1,
+        boot: 1000 + at as u64,
+        period: T,
+        seed: 17 * at as u64,
+    }
+}
+
+/// What a member says of itself at its start.
+pub fn news(at: usize) -> Update {
+    let Settings { me, name, address, incarnation, boot, .. } = settings(at);
+    Update { id: me, name, address, incarnation, boot, standing: Standing::Reachable, by: me }
+}
+
+pub struct Net {
+    pub now: Time,
+    pub members: Vec<Option<Peers>>,
+    pub wakes: Vec<Option<Time>>,
+    /// Links that carry nothing, as (from, to).
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Of a hundred packets, those lost.
+    pub loss: u32,
+    /// All that was ever sent, with where to.
+    pub sent: Vec<(usize, Packet)>,
+    pub most_actions: usize,
+    flying: BTreeMap<(Time, u64), (usize, Packet)>,
+    count: u64,
+    random: Xoshiro256PlusPlus,
+}
+
+impl Net {
+    pub fn new(members: usize, seed: u64) -> Net {
+        let mut net = Net {
+            now: Time(0),
+            members: (0..members).map(|_| None).collect(),
+            wakes: vec![None; members],
+            cut: BTreeSet::new(),
+            loss: 0,
+            sent: Vec::new(),
+            most_actions: 0,
+            flying: BTreeMap::new(),
+            count: 0,
+            random: Xoshiro256PlusPlus::seed_from_u64(seed),
+        };
+        for at in 0..members {
+            net.start(at, Settings { seed: seed ^ (at as u64) << 32, ..settings(at) });
+        }
+        net
+    }
+
+    /// All started and known to one another.
+    pub fn settled(members: usize, seed: u64) -> Net {
+        let mut net = Net::new(members, seed);
+        net.run(T * (10 + members as u32));
+        assert!(net.all_hold(|_, _, standing| standing == Standing::Reachable), "not settled");
+        net
+    }
+
+    pub fn start(&mut self, at: usize, settings: Settings) {
+        self.members[at] = Some(Peers::new(settings, self.now));
+        self.wakes[at] = Some(self.now);
+    }
+
+    pub fn crash(&mut self, at: usize) {
+        (self.members[at], self.wakes[at]) = (None, None);
+    }
+
+    pub fn tell(&mut self, at: usize, event: Event<'_>) {
+        let Some(peers) = self.members[at].as_mut() else { return };
+        let mut actions = Vec::new();
+        peers.handle(self.now, event, &mut actions);
+        self.most_actions = self.most_actions.max(actions.len());
+        for action in actions {
+            match action {
+                Action::WakeAt(then) => self.wakes[at] = Some(then),
+                Action::Send { to, packet } => {
+                    let to = usize::from(to.port()) - 7000;
+                    self.sent.push((to, packet.clone()));
+                    if !self.cut.contains(&(at, to)) && self.random.random_range(0..100) >= self.loss {
+                        let delay = Duration::from_millis(self.random.random_range(1..20));
+                        self.count += 1;
+                        self.flying.insert((self.now + delay, self.count), (to, packet));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Plays on for that long.
+    pub fn run(&mut self, time: Duration) {
+        self.run_until(time, |_| false);
+    }
+
+    /// Plays on until that holds, for that long at most; says whether it came to hold.
+    pub fn run_until(&mut self, time: Duration, done: impl Fn(&Net) -> bool) -> bool {
+        let end = self.now + time;
+        while !done(self) {
+            let packet = self.flying.first_key_value().map(|((then, _), _)| *then);
+            let wake = (0..self.wakes.len()).filter_map(|at| self.wakes[at].map(|then| (then, at))).min();
+            let next = [packet, wake.map(|(then, _)| then)].into_iter().flatten().min();
+            let Some(next) = next.filter(|next| *next <= end) else {
+                self.now = end;
+                return done(self);
+            };
+            self.now = self.now.max(next);
+            match wake {
+                Some((then, at)) if packet.is_none_or(|packet| then < packet) => {
+                    self.wakes[at] = None;
+                    self.tell(at, Event::Wake);
+                }
+                _ => {
+                    let (_, (to, packet)) = self.flying.pop_first().unwrap();
+                    if to < self.members.len() {
+                        self.tell(to, Event::Packet(&packet));
+                    }
+                }
+            }
+        }
+        true
+    }
+
+    /// How one member holds another.
+    pub fn standing(&self, at: usize, of: usize) -> Option<Standing> {
+        let view = self.members[at].as_ref()?.view();
+        view.members.iter().find(|member| member.news.id == id(of)).map(|member| member.news.standing)
+    }
+
+    pub fn peers(&self, at: usize) -> &Peers {
+        self.members[at].as_ref().unwrap()
+    }
+
+    /// Whether each live member holds each other live one so.
+    pub fn all_hold(&self, good: impl Fn(usize, usize, Standing) -> bool) -> bool {
+        let live: Vec<_> = (0..self.members.len()).filter(|at| self.members[*at].is_some()).collect();
+        let holds = |at, of| self.standing(at, of).is_some_and(|standing| good(at, of, standing));
+        live.iter().all(|at| live.iter().all(|of| at == of || holds(*at, *of)))
+    }
+}
