--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod policies;
 pub mod prove;
 pub mod report;
+pub mod rig;
 pub mod scenario;
 pub mod score;
 pub mod store;
--- /dev/null
+++ b/crates/lab/src/rig/mod.rs
@@ -0,0 +1,3 @@
+//! The fault rig: what stands between members of a fleet, and what is done to them.
+
+pub mod links;
