--- /dev/null
+++ b/crates/net/src/clients/flow.rs
@@ -0,0 +1,122 @@
+//! The stages of a flow: a whole request is answered right here, or taken in, routed, forwarded and relayed.
+
+use super::room::Stage;
+use super::{Clients, Reply, TakenIn, take_in};
+use async_io::{Async, Timer};
+use cottonpoint_codec::buffer::Buffer;
+use cottonpoint_codec::http::{self, Head};
+use cottonpoint_core::{Fate, FixedResponse, NewFlow, Step};
+use futures_lite::future;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// The answer needs this long to travel: it sets out so much before the client gives up.
+const TRAVEL: Duration = Duration::from_millis(5);
+/// A flow that the balancer has not settled this long after its due is failed all the same.
+const OVERDUE: Duration = Duration::from_millis(20);
+
+impl Clients {
+    /// The answer to a whole request; `None` when its client has left.
+    pub(super) async fn answer(
+        &self,
+        stream: &Async<TcpStream>,
+        buffer: &mut Buffer,
+        head: Head,
+        body: Vec<u8>,
+    ) -> Option<Reply> {
+        if head.line[1] == "/health/ready" {
+            let ready = !self.leaving() && self.stop.get().is_none();
+            return Some(match ready && self.sidecar.has_targets() {
+                true => Reply::plain(200, "ready"),
+                false => Reply::plain(503, "not ready"),
+            });
+        }
+        let taken = take_in(&self.platform.borrow(), &head, body);
+        let taken = match taken {
+            Ok(taken) => taken,
+            Err(reply) => return Some(reply),
+        };
+        // A flow needs a connection to a target: where none may be left, trying again does no harm.
+        let full = self.ids.borrow().len() >= self.servers.bound();
+        let full = full.then(|| self.platform.borrow().max_retry_after);
+        if let Some(retry_after) = full.or_else(|| self.leaves_too_few().map(Some)) {
+            let reply = Reply::fixed(FixedResponse::Refused { retry_after });
+            self.count(&taken.class_name, Some(&reply));
+            return Some(reply);
+        }
+        if !self.ids.borrow_mut().insert(taken.id.clone()) {
+            return Some(Reply::plain(409, "the id is that of an open request"));
+        }
+        let reply = self.follow(&taken, stream, buffer).await;
+        self.ids.borrow_mut().remove(&taken.id);
+        self.count(&taken.class_name, reply.as_ref());
+        reply
+    }
+
+    /// While only kept connections are in use before a stop: when to come back, for a request that leaves too few
+    /// of them free.
+    fn leaves_too_few(&self) -> Option<Duration> {
+        let stop = self.stop.get()?;
+        let free = self.closable.borrow().values().filter(|c| c.stage == Stage::Kept).count();
+        stop.refuses(self.sidecar.clock().now(), free, self.open())
+    }
+
+    /// Counts a flow's final answer for its class; one whose client has gone counts as failed.
+    fn count(&self, class: &str, reply: Option<&Reply>) {
+        let fate = match reply.map(|r| r.status) {
+            Some(200..=299) => Fate::Fulfilled,
+            Some(429 | 503) => Fate::Throttled,
+            _ => Fate::Faulted,
+        };
+        self.sidecar.counts().ended_as(class, fate);
+    }
+
+    /// Takes a flow through its stages.
+    async fn follow(
+        &self,
+        taken: &TakenIn,
+        stream: &Async<TcpStream>,
+        buffer: &mut Buffer,
+    ) -> Option<Reply> {
+        let clock = self.sidecar.clock();
+        let class = taken.class_name.as_str();
+        let due = clock.now() + taken.left.saturating_sub(TRAVEL);
+        let due = self.stop.get().map_or(due, |stop| stop.due(due));
+        let flow = self.sidecar.admit(NewFlow { class: taken.class, tenant: taken.tenant, due });
+        let stages = async {
+            loop {
+                match flow.route().await {
+                    Step::Forward(forward) => {
+                        let until = clock.instant(forward.until);
+                        let written = || self.sidecar.counts().relayed(class);
+                        let (outcome, report, served) =
+                            self.servers.send(&forward, until, &taken.outgoing, written).await;
+                        if forward.book(outcome, report) {
+                            return Some(Reply::served(served));
+                        }
+                    }
+                    Step::Answer(response) => return Some(Reply::fixed(response)),
+                    Step::Over => return None,
+                }
+            }
+        };
+        let departure = async {
+            let mut reader = stream;
+            loop {
+                match buffer.fill(&mut reader).await {
+                    Ok(n) if n > 0 && buffer.filled().len() < http::BODY_LIMIT => {}
+                    Ok(n) if n > 0 => return future::pending().await,
+                    _ => break,
+                }
+            }
+            flow.depart();
+            future::pending().await
+        };
+        let overdue = async {
+            Timer::at(clock.instant(due + OVERDUE)).await;
+            flow.depart();
+            Some(Reply::fixed(FixedResponse::Failed))
+        };
+        future::or(stages, future::or(departure, overdue)).await
+    }
+}
--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -1,6 +1,8 @@
-//! Clients: the listener, their connections, and the stages that each request passes on them.
+//! Clients: the listener, their connections, and the requests read from them.
 
+mod flow;
 mod relay;
+mod room;
 mod take_in;
 
 pub use relay::Reply;
@@ -12,12 +14,12 @@
 use async_io::{Async, Timer};
 use cottonpoint_codec::buffer::Buffer;
 use cottonpoint_codec::http::{self, Fault, Framing, Head};
-use cottonpoint_core::{Executor, Fate, FixedResponse, NewFlow, Sidecar, Step, Stop};
+use cottonpoint_core::{Executor, Sidecar, Stop};
 use cottonpoint_settings::Platform;
 use futures_lite::{AsyncWriteExt, StreamExt, future};
+use room::{AT_BOUND, Closable, DRAIN, DRAIN_EVERY, EARLY, Open, Stage};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
-use std::future::Future;
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -32,10 +34,6 @@
 const LINGER: Duration = Duration::from_millis(700);
 /// A connection without a request is closed after this time.
 const IDLE: Duration = Duration::from_secs(120);
-/// The answer needs this long to travel: it sets out so much before the client gives up.
-const TRAVEL: Duration = Duration::from_millis(5);
-/// A flow that the balancer has not settled this long after its due is failed all the same.
-const OVERDUE: Duration = Duration::from_millis(20);
 /// A body may come as slowly as this (the operators' page: a client sends a body at 64 kB a second), halved
 /// for slack, and given this much more to begin.
 const BODY_RATE: f64 = 32_768.0;
@@ -53,45 +51,6 @@
 /// Pause before accepting is tried again.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
-/// What a connection without an open flow is doing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// It is new, and nothing has come on it.
-    Fresh,
-    /// A request has begun and is not whole.
-    Sending,
-    /// It is kept between requests.
-    Kept,
-    /// It has had its last answer.
-    Ending,
-}
-
-/// Which connections make room, first to last, and how long they must have been at that stage: from seven
-/// tenths of the bound on, and at the bound.
-const EARLY: [(Stage, Duration); 2] =
-    [(Stage::Kept, Duration::from_secs(2)), (Stage::Fresh, Duration::from_secs(1))];
-const AT_BOUND: [(Stage, Duration); 5] = [
-    (Stage::Kept, Duration::from_secs(2)),
-    (Stage::Ending, Duration::from_millis(100)),
-    (Stage::Fresh, Duration::from_millis(300)),
-    (Stage::Sending, Duration::from_millis(500)),
-    (Stage::Kept, Duration::ZERO),
-];
-
-/// In a drain, kept connections are closed as soon as they stand idle, new ones once they had time for their
-/// first request to begin: the front sends a new connection its request at once.
-const DRAIN: [(Stage, Duration); 2] =
-    [(Stage::Kept, Duration::ZERO), (Stage::Fresh, Duration::from_millis(300))];
-/// How often a drain looks for idle connections: the front asks for readiness as often.
-const DRAIN_EVERY: Duration = Duration::from_millis(100);
-
-/// A connection that may be closed: what it is doing, since when, and how to close it.
-struct Closable {
-    stage: Stage,
-    since: Instant,
-    close: Sender<()>,
-}
-
 /// All that client connections share.
 pub struct Clients {
     sidecar: Rc<Sidecar>,
@@ -255,32 +214,6 @@
         while self.make_room(&[(Stage::Kept, Duration::ZERO), (Stage::Fresh, Duration::ZERO)]) {}
     }
 
-    /// Asks one connection to close, the first that the order names; false where there is none.
-    fn make_room(&self, order: &[(Stage, Duration)]) -> bool {
-        let (now, mut list) = (Instant::now(), self.closable.borrow_mut());
-        let longest = |&(stage, age): &(Stage, Duration)| {
-            let ready = |c: &Closable| c.stage == stage && c.since + age <= now;
-            list.iter().find(|(_, c)| ready(c)).map(|(&number, _)| number)
-        };
-        let number = order.iter().find_map(longest);
-        number.and_then(|number| list.remove(&number)).is_some_and(|c| c.close.try_send(()).is_ok())
-    }
-
-    /// Does some work on a connection that may be closed meanwhile; `None` if it is to close.
-    async fn at_stage<T>(&self, stage: Stage, work: impl Future<Output = T>) -> Option<T> {
-        let (close, closing) = async_channel::bounded(1);
-        let number = self.next.replace(self.next.get() + 1);
-        let closable = Closable { stage, since: Instant::now(), close };
-        self.closable.borrow_mut().insert(number, closable);
-        let closed = async {
-            let _ = closing.recv().await;
-            None
-        };
-        let done = future::or(async { Some(work.await) }, closed).await;
-        self.closable.borrow_mut().remove(&number);
-        done
-    }
-
     /// Connections that are open.
     pub fn open(&self) -> usize {
         self.open.get()
@@ -363,127 +296,6 @@
         let body = super::by(body_until, body).await.unwrap_or(Err(Fault::Stalled))?;
         Ok(Some((head, body)))
     }
-
-    /// The answer to a whole request; `None` when its client has left.
-    async fn answer(
-        &self,
-        stream: &Async<TcpStream>,
-        buffer: &mut Buffer,
-        head: Head,
-        body: Vec<u8>,
-    ) -> Option<Reply> {
-        if head.line[1] == "/health/ready" {
-            let ready = !self.leaving() && self.stop.get().is_none();
-            return Some(match ready && self.sidecar.has_targets() {
-                true => Reply::plain(200, "ready"),
-                false => Reply::plain(503, "not ready"),
-            });
-        }
-        let taken = take_in(&self.platform.borrow(), &head, body);
-        let taken = match taken {
-            Ok(taken) => taken,
-            Err(reply) => return Some(reply),
-        };
-        // A flow needs a connection to a target: where none may be left, trying again does no harm.
-        let full = self.ids.borrow().len() >= self.servers.bound();
-        let full = full.then(|| self.platform.borrow().max_retry_after);
-        if let Some(retry_after) = full.or_else(|| self.leaves_too_few().map(Some)) {
-            let reply = Reply::fixed(FixedResponse::Refused { retry_after });
-            self.count(&taken.class_name, Some(&reply));
-            return Some(reply);
-        }
-        if !self.ids.borrow_mut().insert(taken.id.clone()) {
-            return Some(Reply::plain(409, "the id is that of an open request"));
-        }
-        let reply = self.follow(&taken, stream, buffer).await;
-        self.ids.borrow_mut().remove(&taken.id);
-        self.count(&taken.class_name, reply.as_ref());
-        reply
-    }
-
-    /// While only kept connections are in use before a stop: when to come back, for a request that leaves too few
-    /// of them free.
-    fn leaves_too_few(&self) -> Option<Duration> {
-        let stop = self.stop.get()?;
-        let free = self.closable.borrow().values().filter(|c| c.stage == Stage::Kept).count();
-        stop.refuses(self.sidecar.clock().now(), free, self.open())
-    }
-
-    /// Counts a flow's final answer for its class; one whose client has gone counts as failed.
-    fn count(&self, class: &str, reply: Option<&Reply>) {
-        let fate = match reply.map(|r| r.status) {
-            Some(200..=299) => Fate::Fulfilled,
-            Some(429 | 503) => Fate::Throttled,
-            _ => Fate::Faulted,
-        };
-        self.sidecar.counts().ended_as(class, fate);
-    }
-
-    /// Takes a flow through its stages.
-    async fn follow(
-        &self,
-        taken: &TakenIn,
-        stream: &Async<TcpStream>,
-        buffer: &mut Buffer,
-    ) -> Option<Reply> {
-        let clock = self.sidecar.clock();
-        let class = taken.class_name.as_str();
-        let due = clock.now() + taken.left.saturating_sub(TRAVEL);
-        let due = self.stop.get().map_or(due, |stop| stop.due(due));
-        let flow = self.sidecar.admit(NewFlow { class: taken.class, tenant: taken.tenant, due });
-        let stages = async {
-            loop {
-                match flow.route().await {
-                    Step::Forward(forward) => {
-                        let until = clock.instant(forward.until);
-                        let written = || self.sidecar.counts().relayed(class);
-                        let (outcome, report, served) =
-                            self.servers.send(&forward, until, &taken.outgoing, written).await;
-                        if forward.book(outcome, report) {
-                            return Some(Reply::served(served));
-                        }
-                    }
-                    Step::Answer(response) => return Some(Reply::fixed(response)),
-                    Step::Over => return None,
-                }
-            }
-        };
-        let departure = async {
-            let mut reader = stream;
-            loop {
-                match buffer.fill(&mut reader).await {
-                    Ok(n) if n > 0 && buffer.filled().len() < http::BODY_LIMIT => {}
-                    Ok(n) if n > 0 => return future::pending().await,
-                    _ => break,
-                }
-            }
-            flow.depart();
-            future::pending().await
-        };
-        let overdue = async {
-            Timer::at(clock.instant(due + OVERDUE)).await;
-            flow.depart();
-            Some(Reply::fixed(FixedResponse::Failed))
-        };
-        future::or(stages, future::or(departure, overdue)).await
-    }
-}
-
-/// Counts a connection for as long as it is open.
-struct Open(Rc<Clients>);
-
-impl Open {
-    fn new(clients: Rc<Clients>) -> Open {
-        clients.open.set(clients.open.get() + 1);
-        Open(clients)
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        let _ = self.0.closed.0.try_send(());
-    }
 }
 
 /// Lets the client read the last answer before the connection goes: closing with bytes unread would reset it.
