--- /dev/null
+++ b/crates/program/tests/sidecar/life.rs
@@ -0,0 +1,86 @@
+//! A process's life: ready once it has a list, and the word to stop.
+
+use crate::peers::*;
+use insta::assert_snapshot;
+
+/// Guards against: a sidecar that starts without a list and never asks for one (the balancer's first timer was
+/// set only with its first event), readiness before the list is there, and answers lost at a planned stop.
+#[test]
+fn it_is_ready_once_it_has_a_list_and_until_it_is_told_to_stop() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::start(&config(discovery.address, "null", 1024));
+    let ready = "GET /health/ready HTTP/1.1\nHost: n0\n\n";
+    assert!(sidecar.ask(ready).starts_with("HTTP/1.1 503"));
+    let mut call = discovery.accept();
+    assert_snapshot!(call.text.lines().next().unwrap(), @"GET /registry/instances HTTP/1.1");
+    call.reply("200 OK", "", &list(1, true, &[line("t0", target.address, "active")]));
+    call.next();
+    assert!(sidecar.ask(ready).starts_with("HTTP/1.1 200"));
+
+    // What it has taken is answered after the word to stop, and so is what comes right after it.
+    let mut client = sidecar.client();
+    send(&mut client, LOOK);
+    let mut came = target.accept();
+    sidecar.stop();
+    while !sidecar.ask(ready).starts_with("HTTP/1.1 503") {}
+    let mut late = sidecar.client();
+    send(&mut late, ORDER);
+    let mut second = target.accept();
+    second.reply("200 OK", "", "late");
+    assert!(message(&mut late).ends_with("late"));
+    // Nobody else may be there for the clients: what they keep is served on.
+    send(&mut late, ORDER);
+    assert!(second.next().starts_with("POST"));
+    second.reply("200 OK", "", "later");
+    assert!(message(&mut late).ends_with("later"));
+    came.reply("200 OK", "", "early");
+    assert!(message(&mut client).ends_with("early"));
+    // In time they are given back: idle connections are closed, and it ends.
+    assert_eq!(message(&mut client) + &message(&mut late), "");
+    sidecar.ends();
+}
+
+/// Guards against: the last free connections given away after the word to stop, when no new ones come: a front
+/// that finds none takes all clients away.
+#[test]
+fn after_the_word_to_stop_some_connections_are_kept_free() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let _seen = target.echo();
+    let mut clients: Vec<_> = (0..8).map(|_| sidecar.client()).collect();
+    for client in &mut clients {
+        send(client, LOOK);
+        assert!(message(client).starts_with("HTTP/1.1 200"));
+    }
+    let (begun, rest) = LOOK.split_at(30);
+    for client in &mut clients[2..] {
+        send(client, begun);
+    }
+    sidecar.stop();
+    // One is free beside this one.
+    let refusal = loop {
+        send(&mut clients[0], LOOK);
+        let answer = message(&mut clients[0]);
+        if !answer.starts_with("HTTP/1.1 200") {
+            break answer;
+        }
+    };
+    assert_snapshot!(refusal, @r"
+    HTTP/1.1 503 Service Unavailable
+    Content-Type: text/plain
+    Retry-After: 0.100
+    Content-Length: 8
+
+    refused
+    ");
+    // Once answers have freed others it is served again.
+    for (i, client) in clients[2..].iter_mut().enumerate() {
+        send(client, &rest.replace("c1", &format!("held{i}")));
+    }
+    while !{
+        send(&mut clients[0], LOOK);
+        message(&mut clients[0]).starts_with("HTTP/1.1 200")
+    } {}
+    drop(clients);
+    sidecar.ends();
+}
