Fleet: [fleet] of the operator's file, PEERS on the console, metrics, goodbyes; off by default

The plane and its shell had no way into the program. `serve` starts the mesh only where `fleet.listen` is given, and logs `the fleet listens` with its address; the word to stop says goodbye at once and the workers end with the process; LEAVE and JOIN act on the fleet too; PEERS gives the view and all counts as one JSON line. `check` says what it comes to and never a key; a fault names file, line and key, also of a key's file.

--- a/crates/net/src/console.rs
+++ b/crates/net/src/console.rs
@@ -29,6 +29,8 @@
     Health,
     /// The figures.
     Dump,
+    /// Who is in the fleet, as this process sees it.
+    Peers,
     /// Take that endpoint out.
     Offline(String),
     /// Use that endpoint again.
@@ -69,6 +71,7 @@
         match command.to_ascii_uppercase().as_str() {
             "HEALTH" => none(Call::Health),
             "DUMP" => none(Call::Dump),
+            "PEERS" => none(Call::Peers),
             "LEAVE" => none(Call::Leave),
             "JOIN" => none(Call::Join),
             "OFFLINE" => named(Call::Offline),
@@ -164,6 +167,7 @@
     fn calls_are_read_in_any_case_and_bad_ones_named() {
         assert_eq!(Call::parse("HEALTH"), Ok(Call::Health));
         assert_eq!(Call::parse("dump"), Ok(Call::Dump));
+        assert_eq!(Call::parse("PEERS"), Ok(Call::Peers));
         assert_eq!(Call::parse("OFFLINE  t1 "), Ok(Call::Offline("t1".to_owned())));
         assert_eq!(Call::parse("ONLINE t1"), Ok(Call::Online("t1".to_owned())));
         assert_eq!(Call::parse("LEAVE"), Ok(Call::Leave));
--- a/crates/program/src/cli.rs
+++ b/crates/program/src/cli.rs
@@ -1,6 +1,7 @@
 //! The program's command line, as a library so that the laboratory can start the very program.
 
 use crate::config::Config;
+use crate::fleet;
 use crate::log;
 use crate::operator::Operator;
 use crate::serve::{self, Word};
@@ -98,8 +99,9 @@
 
 fn check(path: PathBuf, operator_path: Option<PathBuf>) -> Result<(), String> {
     let config = Config::load(&path).map_err(|e| e.to_string())?;
-    println!("{config}\n{}", operator(operator_path)?);
-    Ok(())
+    let operator = operator(operator_path)?;
+    println!("{config}\n{operator}");
+    operator.fleet.name_or(&config.name).map(drop)
 }
 
 fn serve(path: PathBuf, operator_path: Option<PathBuf>) -> Result<(), String> {
@@ -114,13 +116,14 @@
         tracing::info!(listen = %address, "serves the console");
         listener
     });
+    let fleet = fleet::start(&operator.fleet, &config.name)?;
     tracing::info!(name = config.name, listen = %address, "serves");
     let words = signals.map(move |signal| match signal {
         Ok(Signal::Hup) => Word::Reload(Config::load(&path).map(Box::new)),
         _ => Word::Stop,
     });
     let listeners = serve::Listeners { clients: listener, metrics, console };
-    serve::run_with(config, listeners, words).map_err(|e| e.to_string())?;
+    serve::run_in_fleet(config, listeners, fleet, words).map_err(|e| e.to_string())?;
     tracing::info!("stopped, all answered");
     Ok(())
 }
--- a/crates/program/src/console.rs
+++ b/crates/program/src/console.rs
@@ -3,6 +3,7 @@
 
 use crate::state::Writer;
 use cottonpoint_core::{Sidecar, target_id};
+use cottonpoint_mesh::Command;
 use cottonpoint_net::clients::Clients;
 use cottonpoint_net::console::{Call, answer_line};
 use serde_json::{Map, Value, json};
@@ -85,6 +86,8 @@
     pub out: Rc<TakenOut>,
     /// Whether the process has been told to stop.
     pub stopping: Rc<Cell<bool>>,
+    /// The fleet, where it is on.
+    pub fleet: Option<cottonpoint_mesh::Handle>,
 }
 
 impl Console {
@@ -113,12 +116,22 @@
             Call::Health => answer_line(Ok(String::new())),
             // The figures stand alone, as one JSON line, then the line that ends them.
             Call::Dump => format!("{}\n.\n", self.figures()),
+            Call::Peers => match &self.fleet {
+                Some(fleet) => format!("{}\n.\n", crate::fleet::figures(fleet)),
+                None => answer_line(Err("the fleet is off".to_owned())),
+            },
             Call::Leave => {
                 self.clients.drain();
+                self.fleet.iter().for_each(|fleet| fleet.tell(Command::Leave));
                 answer_line(Ok(String::new()))
             }
             Call::Join => {
                 self.clients.join();
+                // One that ends has said its goodbye for good.
+                self.fleet
+                    .iter()
+                    .filter(|_| !self.stopping.get())
+                    .for_each(|fleet| fleet.tell(Command::Join));
                 answer_line(Ok(String::new()))
             }
             Call::Offline(name) if self.out.names.borrow().len() >= OUT_LIMIT => {
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod config;
 pub mod console;
+pub mod fleet;
 pub mod log;
 pub mod metrics;
 pub mod operator;
--- a/crates/program/src/metrics.rs
+++ b/crates/program/src/metrics.rs
@@ -36,6 +36,8 @@
     pub clients: Rc<Clients>,
     /// Connections to targets.
     pub servers: Rc<Servers>,
+    /// The fleet, where it is on.
+    pub fleet: Option<cottonpoint_mesh::Handle>,
 }
 
 impl Watched {
@@ -73,6 +75,20 @@
             "Targets that take work",
             gauge(self.sidecar.targets_that_take_work()),
         );
+        if let Some(fleet) = &self.fleet {
+            let [members, datagrams] = crate::fleet::counted(fleet);
+            let gauges = Family::<Label, Gauge>::default();
+            for (result, n) in members {
+                gauges.get_or_create(&Label { result }).set(i64::try_from(n).unwrap_or(i64::MAX));
+            }
+            registry.register("fleet_members", "Members of the fleet held, by standing", gauges);
+            let datagrams = family(&mut datagrams.into_iter());
+            registry.register(
+                "fleet_datagrams",
+                "Datagrams of the fleet, by what became of them",
+                datagrams,
+            );
+        }
         let mut page = String::new();
         // Writing to a string does not fail.
         let _ = encode(&mut page, &registry);
--- a/crates/program/src/operator.rs
+++ b/crates/program/src/operator/mod.rs
@@ -1,6 +1,10 @@
 //! The operator's file: what the platform's configuration does not say. Everything here is off, or as it was
 //! without the file, unless the file says otherwise.
 
+mod fleet;
+
+pub use fleet::Fleet;
+
 use cottonpoint_file::{Fault, Text};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -20,6 +24,9 @@
     /// Figures for whoever watches the program.
     #[toml_example(nesting)]
     pub metrics: Metrics,
+    /// Other sidecars.
+    #[toml_example(nesting)]
+    pub fleet: Fleet,
 }
 
 /// There is no line per request.
@@ -79,7 +86,7 @@
 
     /// Reads and checks an operator's text.
     pub fn read(text: &Text) -> Result<Operator, Fault> {
-        let operator: Operator = text.read()?;
+        let mut operator: Operator = text.read()?;
         let level = |key: &str, level: &str| match level.parse::<LevelFilter>() {
             Ok(_) => Ok(()),
             Err(_) => Err(text.fault(key, format!("{level:?} is no level"))),
@@ -93,13 +100,15 @@
                 text.fault("log.warnings_per_minute", "must be above 0; level = \"off\" silences all")
             );
         }
+        operator.fleet.check(text)?;
         Ok(operator)
     }
 
-    /// A commented file with every key, as it holds when left out, made from the types. The metrics' address
-    /// stands in it as a comment, for it has none.
+    /// A commented file with every key, as it holds when left out, made from the types. Keys that hold nothing
+    /// when left out, such as addresses, stand in it as comments.
     pub fn example() -> String {
-        Operator::toml_example().replace("\nlisten =", "\n# listen =")
+        let commented = |text: String, key| text.replace(&format!("\n{key} ="), &format!("\n# {key} ="));
+        Fleet::COMMENTED.into_iter().fold(Operator::toml_example(), commented)
     }
 }
 
@@ -111,8 +120,9 @@
             write!(f, ", {module} {level}")?;
         }
         match self.metrics.listen {
-            Some(listen) => write!(f, "\nmetrics      {listen}"),
-            None => write!(f, "\nmetrics      off"),
+            Some(listen) => write!(f, "\nmetrics      {listen}")?,
+            None => write!(f, "\nmetrics      off")?,
         }
+        write!(f, "\n{}", self.fleet)
     }
 }
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -7,6 +7,7 @@
 use async_io::{Async, Timer};
 use cottonpoint_core::{Clock, Executor, Sidecar};
 use cottonpoint_decide::ListKind;
+use cottonpoint_mesh::{Command, Mesh};
 use cottonpoint_net::clients::Clients;
 use cottonpoint_net::console::Call;
 use cottonpoint_net::list::{Names, Watcher};
@@ -65,14 +66,26 @@
     config: Config,
     listeners: Listeners,
     words: impl Stream<Item = Word> + Unpin + 'static,
+) -> io::Result<()> {
+    run_in_fleet(config, listeners, None, words)
+}
+
+/// The same as a member of a fleet, where one is given: it is left at the word to stop, and ends with the sidecar.
+pub fn run_in_fleet(
+    config: Config,
+    listeners: Listeners,
+    fleet: Option<Mesh>,
+    words: impl Stream<Item = Word> + Unpin + 'static,
 ) -> io::Result<()> {
     let executor: Executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(config, listeners, words, executor.clone())))
+    let handle = fleet.as_ref().map(Mesh::handle);
+    async_io::block_on(executor.run(serve(config, listeners, handle, words, executor.clone())))
 }
 
 async fn serve(
     config: Config,
     Listeners { clients: listener, metrics, console: console_listener }: Listeners,
+    fleet: Option<cottonpoint_mesh::Handle>,
     mut words: impl Stream<Item = Word> + Unpin + 'static,
     executor: Executor,
 ) -> io::Result<()> {
@@ -131,6 +144,7 @@
         classes: Rc::new(RefCell::new(config.platform.classes.clone())),
         out,
         stopping: stopping.clone(),
+        fleet: fleet.clone(),
     });
     console.restore();
     let follower = Rc::downgrade(&console);
@@ -148,7 +162,8 @@
     });
     let counts = sidecar.clone();
     let classes = console.classes.clone();
-    let watched = Watched { sidecar, clients: clients.clone(), servers: servers.clone() };
+    let watched =
+        Watched { sidecar, clients: clients.clone(), servers: servers.clone(), fleet: fleet.clone() };
     let _metrics = metrics.map(|listener| executor.spawn(watched.serve(listener)));
 
     let (stop, stopped) = async_channel::bounded::<()>(1);
@@ -184,6 +199,7 @@
     });
     let _ = stopped.recv().await;
     stopping.set(true);
+    fleet.iter().for_each(|fleet| fleet.tell(Command::Leave));
 
     let stop = clients.stop();
     let followed = || succession.as_ref().is_some_and(Succession::followed);
--- a/crates/program/tests/operator.rs
+++ b/crates/program/tests/operator.rs
@@ -9,6 +9,7 @@
 use cottonpoint::operator::Operator;
 use cottonpoint::serve::{self, Word};
 use cottonpoint_file::Text;
+use cottonpoint_mesh::seal::Key;
 use insta::assert_snapshot;
 use peers::{LOOK, Peer, config, line, list, listen, message, send};
 use std::net::TcpStream;
@@ -20,10 +21,19 @@
     assert_eq!(Operator::read(&Text::new("example", &example)), Ok(Operator::default()));
     let shipped = include_str!("../../../deploy/cottonpoint.toml");
     assert_eq!(shipped, example, "print it anew with: cottonpoint config example");
-    // The key that the example only names as a comment is one.
-    let named = example.replace("# listen =", "listen =");
-    let listen = Operator::read(&Text::new("example", &named)).expect("good").metrics.listen;
-    assert_eq!(listen, "127.0.0.1:9100".parse().ok());
+    // The keys that the example only names as comments are some; only that the key's file is not there.
+    let key = |l: &str| l.split(' ').nth(1) == Some("=");
+    let named = example.lines().map(|l| l.strip_prefix("# ").filter(|l| key(l)).unwrap_or(l));
+    let named = named.collect::<Vec<_>>().join("\n");
+    let fault = Operator::read(&Text::new("example", &named)).expect_err("no such file").to_string();
+    assert!(
+        fault.starts_with("example:") && fault.contains("fleet.keys: fleet.key: No such file"),
+        "{fault}"
+    );
+    let without = named.replace("keys = [\"fleet.key\"]", "").replace("listen = \"10", "# listen = \"10");
+    let read = Operator::read(&Text::new("example", &without)).expect("good");
+    assert_eq!(read.metrics.listen, "127.0.0.1:9100".parse().ok());
+    assert_eq!((read.fleet.name.as_deref(), read.fleet.cluster.as_str()), (Some("n0"), "archive"));
 }
 
 /// Guards against: a wrong file that is taken, or refused without saying where.
@@ -39,6 +49,19 @@
         "[metrics]\nlisten = \"9100\"",
         "[mllp]\nlisten = \"127.0.0.1:2575\"",
         "[log\n",
+        "[fleet]\nlisten = \"[::1]:7946\"",
+        "[fleet]\nlisten = \"127.0.0.1:0\"",
+        "[fleet]\nlisten = \"127.0.0.1:0\"\ncluster = \"c\"",
+        "[fleet]\nlisten = \"0.0.0.0:7946\"\ncluster = \"c\"",
+        "[fleet]\nlisten = \"127.0.0.1:0\"\nadvertise = \"127.0.0.1:0\"\ncluster = \"c\"",
+        "[fleet]\nlisten = \"127.0.0.1:0\"\ncluster = \"c\"\nkeys = [\"no/such/file\"]",
+        "[fleet]\nlisten = \"127.0.0.1:0\"\ncluster = \"c\"\nkeys = [\"/dev/null\"]",
+        "[fleet]\nlisten = \"127.0.0.1:0\"\ncluster = \"c\"\nkeys = [\"/dev/zero\"]",
+        "[fleet]\nseeds = [\"127.0.0.1\"]",
+        "[fleet]\nperiod_ms = 199",
+        "[fleet]\nworkers = 9",
+        "[fleet]\nname = \"a-name-of-more-than-thirty-two-bytes\"",
+        "[fleet]\nkey = \"secret\"",
     ] {
         let fault = Operator::read(&Text::new("cottonpoint.toml", text)).expect_err(text).to_string();
         assert_eq!(fault.lines().count(), 1);
@@ -47,6 +70,29 @@
     assert_snapshot!(said);
 }
 
+/// Guards against: a check that prints keys, or says less than how the fleet stands; a key with its line's end in it.
+#[test]
+fn check_says_what_the_fleet_comes_to_and_never_a_key() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let key = dir.path().join("key");
+    std::fs::write(&key, "0123456789abcdef\r\n").expect("a file");
+    let text = format!(
+        "[fleet]\nlisten = \"10.0.0.7:7946\"\ncluster = \"archive\"\nkeys = [{key:?}]\nseeds = [\"10.0.0.8:7946\"]"
+    );
+    let operator = Operator::read(&Text::new("cottonpoint.toml", &text)).expect("good");
+    assert_eq!(Some(&operator.fleet.read[0]), Key::new(b"0123456789abcdef").as_ref());
+    assert_snapshot!(operator.to_string(), @r"
+    log          text, info
+    metrics      off
+    fleet        archive, listens on 10.0.0.7:7946, keys 1, seeds 1, every 1000 ms, threads 2
+    ");
+    assert!(!format!("{operator:?}").contains("0123456789abcdef"));
+    // The configuration's name stands in for the member's, where it is one.
+    assert_eq!(operator.fleet.name_or("n0"), Ok("n0".to_owned()));
+    let long = "n".repeat(33);
+    assert!(operator.fleet.name_or(&long).expect_err("too long").contains("fleet.name"));
+}
+
 /// Guards against: figures that do not follow what happened.
 #[test]
 fn metrics_count_what_passed() {
