After a stop count kept and busy connections only when some are kept free

A sidecar told to stop keeps up to three connections free, a quarter of the open ones at most, and counted silent and half-sent ones among the open: two hundred of them made a sidecar with two kept connections refuse each request from 0.1 s after the word until it gave its clients back. Lines at fault: Clients::leaves_too_few took open(), and Stop::refuses a quarter of it. Now those kept between requests and those with a request taken count.

Shown on loopback: with 200 silent and half-sent clients each request on two kept connections is served (refused without the mend); six of eight kept connections with a forward out make the next request refused, and all six get their answers; clients that send on every kept connection until it closes get a whole answer to each request, and nothing of the one that met the close went to a target.

--- a/crates/net/src/clients/flow.rs
+++ b/crates/net/src/clients/flow.rs
@@ -1,6 +1,5 @@
 //! The stages of a flow: a whole request is answered right here, or taken in, routed, forwarded and relayed.
 
-use super::room::Stage;
 use super::{Clients, Reply, TakenIn, take_in};
 use async_io::{Async, Timer};
 use cottonpoint_codec::buffer::Buffer;
@@ -56,9 +55,8 @@
     /// While only kept connections are in use before a stop: when to come back, for a request that leaves too few
     /// of them free.
     fn leaves_too_few(&self) -> Option<Duration> {
-        let stop = self.stop.get()?;
-        let free = self.closable.borrow().values().filter(|c| c.stage == Stage::Kept).count();
-        stop.refuses(self.sidecar.clock().now(), free, self.open())
+        let (free, busy) = self.in_use();
+        self.stop.get()?.refuses(self.sidecar.clock().now(), free, busy)
     }
 
     /// Counts a flow's final answer for its class; one whose client has gone counts as failed.
--- a/crates/net/src/clients/room.rs
+++ b/crates/net/src/clients/room.rs
@@ -41,7 +41,7 @@
 
 /// A connection that may be closed: what it is doing, since when, and how to close it.
 pub(super) struct Closable {
-    pub(super) stage: Stage,
+    stage: Stage,
     since: Instant,
     close: Sender<()>,
 }
@@ -58,6 +58,14 @@
         number.and_then(|number| list.remove(&number)).is_some_and(|c| c.close.try_send(()).is_ok())
     }
 
+    /// Connections in use: those kept between requests, and those whose request has been taken. New ones that have
+    /// said nothing, those still sending and those ending are neither.
+    pub(super) fn in_use(&self) -> (usize, usize) {
+        let list = self.closable.borrow();
+        let kept = list.values().filter(|c| c.stage == Stage::Kept).count();
+        (kept, self.open.get().saturating_sub(list.len()))
+    }
+
     /// Does some work on a connection that may be closed meanwhile; `None` if it is to close.
     pub(super) async fn at_stage<T>(&self, stage: Stage, work: impl Future<Output = T>) -> Option<T> {
         let (close, closing) = async_channel::bounded(1);
--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -7,3 +7,4 @@
 mod forwards;
 mod life;
 mod peers;
+mod stop;
--- /dev/null
+++ b/crates/program/tests/sidecar/stop.rs
@@ -0,0 +1,139 @@
+//! After the word to stop: who is still served, who is turned away, and what is waited for at the end.
+
+use crate::peers::*;
+use insta::assert_snapshot;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+const READY: &str = "GET /health/ready HTTP/1.1\nHost: n0\n\n";
+
+/// A target that answers all at once, but gives the connections of requests for `held` to the story.
+fn holding_target() -> (SocketAddr, Receiver<TcpStream>) {
+    let ((listener, address), (hold, held)) = (listen(), channel());
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let hold = hold.clone();
+            std::thread::spawn(move || {
+                loop {
+                    match message(&mut stream).split_once(" HTTP").map(|(line, _)| line.contains("held")) {
+                        Some(true) => return drop(hold.send(stream)),
+                        Some(false) => stream.write_all(OK).expect("the sidecar reads"),
+                        None => return,
+                    }
+                }
+            });
+        }
+    });
+    (address, held)
+}
+
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// Connections that have each had an answer and are kept.
+fn kept(sidecar: &Running, count: usize) -> Vec<TcpStream> {
+    let mut clients: Vec<_> = (0..count).map(|_| sidecar.client()).collect();
+    for client in &mut clients {
+        assert!(served(client));
+    }
+    clients
+}
+
+fn served(client: &mut TcpStream) -> bool {
+    send(client, LOOK);
+    message(client).starts_with("HTTP/1.1 200")
+}
+
+/// Guards against: the last free connections given away after the word to stop, when no new ones come: a front
+/// that finds none takes all clients away.
+#[test]
+fn after_the_word_to_stop_some_connections_are_kept_free() {
+    let ((target, held), discovery) = (holding_target(), Peer::new());
+    let known = list(1, true, &[line("t0", target, "active")]);
+    // Time enough for the story before a held flow is refused at its aim.
+    let config = config(discovery.address, &known, 1024).replace("aim_ns\":1000", "aim_ns\":2900");
+    let sidecar = Running::start(&config);
+    let mut clients = kept(&sidecar, 8);
+    for (i, client) in clients[2..].iter_mut().enumerate() {
+        send(client, &LOOK.replace("/look/7", "/look/held").replace("c1", &format!("held{i}")));
+    }
+    let held: Vec<_> = (0..6).map(|_| held.recv().expect("a forward")).collect();
+    sidecar.stop();
+    // One is free beside this one, of eight in use.
+    let refusal = loop {
+        send(&mut clients[0], LOOK);
+        let answer = message(&mut clients[0]);
+        if !answer.starts_with("HTTP/1.1 200") {
+            break answer;
+        }
+    };
+    assert_snapshot!(refusal, @r"
+    HTTP/1.1 503 Service Unavailable
+    Content-Type: text/plain
+    Retry-After: 0.100
+    Content-Length: 8
+
+    refused
+    ");
+    // Each forward that was out has its answer, and once they have freed others all are served again.
+    for mut stream in held {
+        stream.write_all(OK).expect("the sidecar reads");
+    }
+    for client in &mut clients[2..] {
+        assert!(message(client).starts_with("HTTP/1.1 200"));
+    }
+    assert!(served(&mut clients[0]));
+    sidecar.ends();
+}
+
+/// Guards against: silent and half-sent connections counted with those in use, so that two hundred of them made a
+/// sidecar with few kept ones refuse from 0.1 s after the word to stop until it gave its clients back.
+#[test]
+fn silent_and_half_sent_connections_turn_nobody_away_before_a_stop() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let _seen = target.echo();
+    let mut clients = kept(&sidecar, 2);
+    let mut silent: Vec<_> = (0..200).map(|_| sidecar.client()).collect();
+    for client in &mut silent[..100] {
+        send(client, "GET /look/7 HTTP/1.1\nX-");
+    }
+    sidecar.stop();
+    while !sidecar.ask(READY).starts_with("HTTP/1.1 503") {}
+    // Well into the time when only kept connections are in use.
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_millis(600) {
+        assert!(served(&mut clients[0]), "{:?} after the word to stop", begun.elapsed());
+    }
+    drop(silent);
+    sidecar.ends();
+}
+
+/// Guards against: a request sent after the word to stop, on a connection that is still open, left without a whole
+/// answer: each gets one, or its connection was closed and nothing of it was sent on.
+#[test]
+fn each_request_on_a_kept_connection_is_answered_up_to_the_end() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let sidecar = Running::knowing(&[target.address], &discovery);
+    let seen = target.echo();
+    let clients = kept(&sidecar, 4).into_iter().enumerate().map(|(i, mut client)| {
+        std::thread::spawn(move || {
+            (0..).map(|n| format!("id{i}x{n}.")).find(|id| {
+                let request = LOOK.replace("c1", id).replace('\n', "\r\n");
+                let sent = client.write_all(request.as_bytes());
+                let answer = sent.map_or_else(|_| String::new(), |()| message(&mut client));
+                let whole = answer.ends_with("HTTP/1.1") || answer.ends_with("refused\n");
+                assert!(whole || answer.is_empty(), "{id}: {answer}");
+                answer.is_empty()
+            })
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    sidecar.stop();
+    let unanswered: Vec<_> = clients.into_iter().filter_map(|c| c.join().expect("answers")).collect();
+    sidecar.ends();
+    let seen: String = seen.try_iter().collect();
+    assert_eq!(unanswered.len(), 4, "every connection is closed at last");
+    assert!(unanswered.iter().all(|id| !seen.contains(id)), "{unanswered:?} were sent on");
+}
