Wait at the end for endpoints out by hand to be written, until SIGKILL may come

Dropping the writer waits for nothing. TakenOut moves to a file of its own with one place for the path, the writer's.

Shown with a pipe in the disk's place: a process without clients does not end in 1.5 s while the disk hangs, and the file holds both endpoints when it has ended (it ended early without the wait); with a disk that never comes round it ends.

--- a/crates/program/src/console.rs
+++ b/crates/program/src/console.rs
@@ -1,79 +1,14 @@
 //! The console's calls, carried out on the running sidecar: its figures, endpoints out by hand, drains.
-//! Endpoints taken out are kept in a file under `$TMPDIR`, so that a new process of the sidecar keeps them out.
 
-use crate::state::Writer;
+use crate::taken_out::{OUT_LIMIT, TakenOut};
 use cottonpoint_core::{Sidecar, target_id};
 use cottonpoint_mesh::Command;
 use cottonpoint_net::clients::Clients;
 use cottonpoint_net::console::{Call, answer_line};
 use serde_json::{Map, Value, json};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
-use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
-/// The file, under the state directory, that names the endpoints taken out by hand.
-pub const OUT_FILE: &str = "cottonpoint-out.json";
-/// Endpoints kept out at most: a call past that is refused, not forgotten.
-const OUT_LIMIT: usize = 4096;
-
-/// The endpoints taken out by hand, by name, and where they are kept.
-pub struct TakenOut {
-    names: RefCell<BTreeSet<String>>,
-    file: Option<Writer>,
-    path: Option<PathBuf>,
-    /// When the file was last read.
-    seen: Cell<Option<std::time::SystemTime>>,
-}
-
-impl TakenOut {
-    /// Those that the file names, if there is a state directory and a readable file in it.
-    pub fn load(state: Option<&Path>) -> TakenOut {
-        let path = state.map(|dir| dir.join(OUT_FILE));
-        let text = path.as_ref().and_then(|f| std::fs::read_to_string(f).ok());
-        let names: BTreeSet<String> = text.and_then(|t| serde_json::from_str(&t).ok()).unwrap_or_default();
-        let file = path.clone().map(Writer::new);
-        TakenOut { names: names.into(), file, path, seen: Cell::new(None) }
-    }
-
-    /// What the file says now, where another process of the sidecar (an older or newer version beside this
-    /// one) has changed it: the names to take out and to put back. `None` if it is as last seen.
-    pub fn changed(&self) -> Option<(Vec<String>, Vec<String>)> {
-        let (writer, file) = (self.file.as_ref()?, self.path.as_ref()?);
-        if writer.is_behind() {
-            return None; // What it says is older than what the console was told here.
-        }
-        // Read again only when written since: this is asked five times a second.
-        let modified = std::fs::metadata(file).and_then(|m| m.modified()).ok();
-        if modified.is_some() && self.seen.replace(modified) == modified {
-            return None;
-        }
-        let text = std::fs::read_to_string(file).ok()?;
-        let names: BTreeSet<String> = serde_json::from_str(&text).ok()?;
-        let mut held = self.names.borrow_mut();
-        if *held == names {
-            return None;
-        }
-        let taken_out = names.difference(&held).cloned().collect();
-        let put_back = held.difference(&names).cloned().collect();
-        *held = names;
-        Some((taken_out, put_back))
-    }
-
-    /// The names, in order.
-    pub fn names(&self) -> Vec<String> {
-        self.names.borrow().iter().cloned().collect()
-    }
-
-    fn set(&self, name: &str, out: bool) {
-        let mut names = self.names.borrow_mut();
-        let changed = if out { names.insert(name.to_owned()) } else { names.remove(name) };
-        if let Some(file) = self.file.as_ref().filter(|_| changed) {
-            file.write(json!(*names).to_string());
-        }
-    }
-}
-
 /// All that the console's calls act on.
 pub struct Console {
     /// The core.
@@ -134,7 +69,7 @@
                     .for_each(|fleet| fleet.tell(Command::Join));
                 answer_line(Ok(String::new()))
             }
-            Call::Offline(name) if self.out.names.borrow().len() >= OUT_LIMIT => {
+            Call::Offline(name) if self.out.is_full() => {
                 answer_line(Err(format!("{name}: {OUT_LIMIT} endpoints are out already")))
             }
             Call::Offline(name) => self.set_out(&name, true),
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod operator;
 pub mod serve;
 pub mod state;
+pub mod taken_out;
 
 pub use cottonpoint_core as sidecar;
 pub use cottonpoint_decide::*;
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -1,8 +1,9 @@
 //! The sidecar as a program: its parts put together, from the first connection to the last.
 
 use crate::config::{BadConfig, Config};
-use crate::console::{Console, TakenOut};
+use crate::console::Console;
 use crate::metrics::Watched;
+use crate::taken_out::TakenOut;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use cottonpoint_core::{Clock, Executor, Sidecar};
@@ -220,6 +221,14 @@
         clients.close_idle();
         one_closed_or(&clients, Timer::after(LOOK_AGAIN)).await;
     }
+    // Who was told yes for an endpoint out by hand may count on it at the next start. A disk that hangs is waited
+    // for until SIGKILL may come, and no longer.
+    let killed = Timer::at(clock.instant(stop.killed_at()));
+    future::or(console.out.kept(), async {
+        killed.await;
+        tracing::warn!("the disk hangs: endpoints out by hand may not be kept for the next start");
+    })
+    .await;
     drop((accept, heed));
     Ok(())
 }
--- a/crates/program/src/state.rs
+++ b/crates/program/src/state.rs
@@ -1,12 +1,11 @@
 //! What outlives a process of the sidecar, in the state directory (`$TMPDIR`).
 
 use async_channel::{Receiver, Sender};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::thread::JoinHandle;
 
 /// Writes a file whole to a name beside it, then puts it in place: a reader sees the old text or the new.
 pub fn write_whole(file: &Path, text: &str) -> io::Result<()> {
@@ -24,24 +23,31 @@
 
 /// Writes one file whole, time and again, on a thread of its own: to put a file in another's place can take the
 /// disk a second, and the one thread that serves clients must not wait for it. Of texts that wait only the newest
-/// is written. Dropped, it first writes what waits.
+/// is written. Dropped, it waits for nothing: the thread ends once all is written, or with the process.
 pub struct Writer {
     file: PathBuf,
     texts: Sender<Text>,
     waiting: Receiver<Text>,
-    /// The thread, from the first text on.
-    thread: RefCell<Option<JoinHandle<()>>>,
+    /// Whether the thread runs, as it does from the first text on.
+    runs: Cell<bool>,
     /// The number of the newest text, and of the newest one written (or given up).
     newest: Cell<u64>,
     written: Arc<AtomicU64>,
+    /// The thread's word that it has written one more (or given it up).
+    one_more: (Sender<()>, Receiver<()>),
 }
 
 impl Writer {
     /// Nothing is written yet.
     pub fn new(file: PathBuf) -> Writer {
         let (texts, waiting) = async_channel::bounded(1);
-        let (thread, newest, written) = Default::default();
-        Writer { file, texts, waiting, thread, newest, written }
+        let (runs, newest, written) = Default::default();
+        Writer { file, texts, waiting, runs, newest, written, one_more: async_channel::bounded(1) }
+    }
+
+    /// The file.
+    pub fn file(&self) -> &Path {
+        &self.file
     }
 
     /// Has the text written soon; what cannot be written is logged.
@@ -49,16 +55,19 @@
         let number = self.newest.get() + 1;
         self.newest.set(number);
         let _ = self.texts.force_send((number, text));
-        self.thread.borrow_mut().get_or_insert_with(|| {
-            let (file, texts, written) = (self.file.clone(), self.waiting.clone(), self.written.clone());
-            std::thread::spawn(move || {
-                while let Ok((number, text)) = texts.recv_blocking() {
-                    if let Err(e) = write_whole(&file, &text) {
-                        tracing::warn!(file = %file.display(), %e, "not kept for the next start");
-                    }
-                    written.store(number, Ordering::Release);
+        if self.runs.replace(true) {
+            return;
+        }
+        let (file, texts, written) = (self.file.clone(), self.waiting.clone(), self.written.clone());
+        let one_more = self.one_more.0.clone();
+        std::thread::spawn(move || {
+            while let Ok((number, text)) = texts.recv_blocking() {
+                if let Err(e) = write_whole(&file, &text) {
+                    tracing::warn!(file = %file.display(), %e, "not kept for the next start");
                 }
-            })
+                written.store(number, Ordering::Release);
+                let _ = one_more.try_send(());
+            }
         });
     }
 
@@ -66,14 +75,18 @@
     pub fn is_behind(&self) -> bool {
         self.written.load(Ordering::Acquire) != self.newest.get()
     }
+
+    /// Waits until no text is on its way. A disk that hangs makes it wait for ever: the caller bounds it.
+    pub async fn caught_up(&self) {
+        while self.is_behind() {
+            let _ = self.one_more.1.recv().await;
+        }
+    }
 }
 
 impl Drop for Writer {
     fn drop(&mut self) {
         self.texts.close();
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
     }
 }
 
@@ -98,7 +111,7 @@
         }
         // The disk comes round: whatever was being written goes through the pipe, and the rest to plain files.
         let read = std::fs::read_to_string(&pipe).expect("a text");
-        drop(writer);
+        async_io::block_on(writer.caught_up());
         let last = if read == "third" { read } else { std::fs::read_to_string(&file).expect("a file") };
         assert_eq!(last, "third");
     }
--- a/crates/program/tests/sidecar/stop.rs
+++ b/crates/program/tests/sidecar/stop.rs
@@ -1,9 +1,11 @@
 //! After the word to stop: who is still served, who is turned away, and what is waited for at the end.
 
 use crate::peers::*;
+use cottonpoint::taken_out::OUT_FILE;
 use insta::assert_snapshot;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
@@ -137,3 +139,42 @@
     assert_eq!(unanswered.len(), 4, "every connection is closed at last");
     assert!(unanswered.iter().all(|id| !seen.contains(id)), "{unanswered:?} were sent on");
 }
+
+/// A sidecar whose disk hangs: what it writes of endpoints out by hand goes to a pipe at first, and stays there until
+/// somebody reads it. It has been told to take `t0` out and then `t1`, and to stop; yields its end.
+fn stopping_on_a_hung_disk(state: &Path) -> (PathBuf, Receiver<()>) {
+    let pipe = state.join(OUT_FILE).with_extension(format!("{}.new", std::process::id()));
+    assert!(std::process::Command::new("mkfifo").arg(&pipe).status().expect("mkfifo runs").success());
+    let (target, discovery) = (Peer::new().address, Peer::new());
+    let known = list(1, true, &[line("t0", target, "active"), line("t1", target, "active")]);
+    let (sidecar, console) = Running::with_console(&config(discovery.address, &known, 1024), Some(state));
+    assert_eq!(call(console, "OFFLINE t0") + &call(console, "OFFLINE t1"), "+OK\n+OK\n");
+    let (end, ended) = channel();
+    std::thread::spawn(move || {
+        sidecar.ends();
+        end.send(())
+    });
+    (pipe, ended)
+}
+
+/// Guards against: a process that ends, its clients gone, before an endpoint that it said to be out is written down.
+#[test]
+fn endpoints_out_by_hand_are_written_before_the_end() {
+    let state = tempfile::tempdir().expect("a directory");
+    let (pipe, ended) = stopping_on_a_hung_disk(state.path());
+    // Without clients it would end 0.7 s after the word.
+    assert!(ended.recv_timeout(Duration::from_millis(1500)).is_err(), "it ends before all is written");
+    std::fs::read_to_string(pipe).expect("the disk comes round");
+    ended.recv().expect("it ends");
+    let kept = std::fs::read_to_string(state.path().join(OUT_FILE)).expect("a file");
+    assert_eq!(kept, r#"["t0","t1"]"#);
+}
+
+/// Guards against: a disk that hangs keeping a process beyond the time when SIGKILL may come.
+#[test]
+fn a_hung_disk_is_waited_for_no_longer_than_until_sigkill() {
+    let state = tempfile::tempdir().expect("a directory");
+    let (pipe, ended) = stopping_on_a_hung_disk(state.path());
+    ended.recv_timeout(Duration::from_secs(10)).expect("it ends 3.7 s after the word");
+    std::fs::read_to_string(pipe).expect("the thread is let go");
+}
