Lab: a fleet's membership planes in virtual time, with links and processes that fail

Need: what the plane owes (time to know of a crash, agreement after a heal, bytes a second) is claimed for up to 500 members; no machine here holds them, and real sockets give no two equal runs.

`crates/lab/src/fleet` plays the very `cottonpoint_peers::Peers` for each member in virtual time. Links are the rig's own machine. Processes crash without a word, start again under a new boot, stand still (what comes waits at a bounded socket and is given late), leave and join; clocks count in ticks from origins of their own; packets are counted as postcard encodes them, with the seal; a listener may send a share of them again. Parts of the plane can be taken out from the outside, so that a claim that rests on one is seen to fail.

Ways not taken: the emulator's own queue (its events are of requests and servers), and a link model of its own (the rig's relay and this world would then differ).

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod draw;
 pub mod experiment;
+pub mod fleet;
 pub mod live;
 pub mod policies;
 pub mod prove;
