--- /dev/null
+++ b/crates/lab/src/commands/results.rs
@@ -0,0 +1,78 @@
+//! Kept results: listed, shown, compared.
+
+use super::{Done, RESULTS, print_json};
+use crate::{Form, ResultsCommand};
+use cottonpoint_lab::experiment::compare;
+use cottonpoint_lab::report::markdown;
+use cottonpoint_lab::store::{Name, Row, Store};
+use std::collections::BTreeMap;
+use std::path::Path;
+
+pub(super) fn results(what: ResultsCommand, form: Form) -> Done<bool> {
+    let store = Store::open(Path::new(RESULTS))?;
+    match what {
+        ResultsCommand::List => {
+            let mut counts = BTreeMap::new();
+            for row in store.rows() {
+                *counts.entry(row.name.code).or_insert(0_u64) += 1;
+            }
+            if form.json {
+                print_json(&counts)?;
+            } else {
+                counts.iter().for_each(|(code, n)| println!("{code}  {n} runs"));
+            }
+        }
+        ResultsCommand::Show { version } => {
+            let rows: Vec<Row> = store.rows().filter(|r| r.name.code == version).collect();
+            if form.json {
+                print_json(&rows)?;
+                return Ok(true);
+            }
+            let lines = rows.iter().map(|r| {
+                let (n, f) = (&r.name, &r.outcome.figures);
+                vec![n.scenario.clone(), n.policy.clone(), n.seed.to_string(), format!("{:.3}", f.score)]
+            });
+            println!("{}", markdown(["scenario", "policy", "seed", "score"], lines));
+        }
+        ResultsCommand::Diff { old, new } => {
+            let mut both: BTreeMap<(String, String), Vec<(f64, f64)>> = BTreeMap::new();
+            let olds: BTreeMap<Name, f64> = store
+                .rows()
+                .filter(|r| r.name.code == old)
+                .map(|r| (Name { code: String::new(), ..r.name }, r.outcome.figures.score))
+                .collect();
+            for r in store.rows().filter(|r| r.name.code == new) {
+                let name = Name { code: String::new(), ..r.name };
+                if let Some(before) = olds.get(&name) {
+                    let pair = (r.outcome.figures.score, *before);
+                    both.entry((name.scenario, name.policy)).or_default().push(pair);
+                }
+            }
+            let lines = both.iter().map(|((scenario, policy), pairs)| {
+                let c = compare(pairs);
+                vec![
+                    scenario.clone(),
+                    policy.clone(),
+                    c.pairs.to_string(),
+                    format!("{:.3}", c.b),
+                    format!("{:.3}", c.a),
+                    format!("{:+.3}", c.difference),
+                    format!("{:+.3} to {:+.3}", c.interval.0, c.interval.1),
+                    if c.says_something { "yes" } else { "no" }.to_owned(),
+                ]
+            });
+            let header = [
+                "scenario",
+                "policy",
+                "pairs",
+                "old",
+                "new",
+                "new less old",
+                "95% interval",
+                "says something",
+            ];
+            println!("{}", markdown(header, lines));
+        }
+    }
+    Ok(true)
+}
--- a/crates/lab/src/prove/lab.rs
+++ b/crates/lab/src/prove/lab/mod.rs
@@ -1,5 +1,7 @@
 //! The emulator proves itself.
 
+mod queues;
+
 use super::Claim;
 use crate::experiment::{self, Task};
 use crate::policies::broken::Breaks;
@@ -8,117 +10,10 @@
 use crate::world::{Rule, World};
 use cottonpoint_decide::{Settings, Time};
 use cottonpoint_file::Text;
-use rayon::prelude::*;
+use queues::closed_forms;
 use std::path::Path;
 use std::time::Instant;
 
-/// One tier, one class, one sidecar without a limit: a plain queue.
-fn queue(rate: f64, cores: u32, slots: u32, law: &str, length_s: u64) -> String {
-    // The slots are per core; a huge waiting room and no patience at all: nobody is turned away.
-    format!(
-        r#"
-name = "queue"
-about = "A plain queue, for closed forms."
-length = "{length_s}s"
-[network]
-one_way = "0s"
-client = "0s"
-jitter = 0.0
-[discovery]
-asked = false
-[clients]
-retries = 0
-impatient = 0.0
-try_share = 1.0
-[load]
-rate = {rate}
-[[class]]
-name = "only"
-share = 1
-work = "10ms"
-{law}
-aim = "1000s"
-give_up = "1000s"
-worth = 1
-[[tier]]
-name = "only"
-servers = 1
-sidecars = 1
-[tier.connections]
-handshake_work = "0s"
-handshake_trips = 0.0
-cap = 1000000
-full_tax = 0.0
-[[tier.kind]]
-name = "plain"
-cores = {cores}
-slots = {slots}
-queue = 1000000
-"#
-    )
-}
-
-/// Mean time in the system in milliseconds, over some seeds.
-fn mean_time(text: &str, seeds: u64) -> f64 {
-    let Ok(scenario) = Scenario::parse("(proof)", text) else { return f64::NAN };
-    let policy = Policy::Rival(crate::policies::Choice::RoundRobin, crate::policies::Limiting::None, false);
-    let means = (0..seeds).into_par_iter().map(|seed| {
-        let played = experiment::play(&scenario, seed, policy);
-        // The histogram holds two digits; over many values its mean is much finer.
-        played.book.times.mean() / 1e3
-    });
-    // Summed in the order of the seeds, so that threads change no digit.
-    means.collect::<Vec<f64>>().iter().sum::<f64>() / seeds as f64
-}
-
-/// Erlang's C: the share that waits with `c` servers and an offered load of `a` (Erlang, 1917).
-fn erlang_c(c: u32, a: f64) -> f64 {
-    let mut term = 1.0;
-    let mut sum = 0.0;
-    for k in 0..c {
-        sum += term;
-        term *= a / f64::from(k + 1);
-    }
-    let last = term * f64::from(c) / (f64::from(c) - a);
-    last / (sum + last)
-}
-
-fn closed_forms(short: bool, claims: &mut Vec<Claim>) {
-    // The mean service time is 10 ms. Pollaczek and Khinchine: wait = rho (1 + cv^2) / 2 / (1 - rho) * s.
-    let (s, rho) = (10.0, 0.7);
-    let mut forms = vec![
-        ("M/M/1 at 70%", queue(70.0, 1, 1, r#"law = "exponential""#, 2000), s / (1.0 - rho)),
-        ("M/D/1 at 70%", queue(70.0, 1, 1, r#"law = "fixed""#, 2000), s + s * rho / 2.0 / (1.0 - rho)),
-        (
-            "M/G/1 at 70%, log-normal of cv 1.5",
-            queue(70.0, 1, 1, "cv = 1.5", 2000),
-            s + s * rho * (1.0 + 1.5 * 1.5) / 2.0 / (1.0 - rho),
-        ),
-        (
-            "M/G/1 with shared cores (insensitive to the law)",
-            queue(70.0, 1, 1000, "cv = 1.5", 2000),
-            s / (1.0 - rho),
-        ),
-    ];
-    for cores in [4_u32, 16] {
-        let a = f64::from(cores) * 0.8;
-        let time = s + erlang_c(cores, a) * s / (f64::from(cores) - a);
-        let name = if cores == 4 { "M/M/4 at 80%" } else { "M/M/16 at 80%" };
-        forms.push((name, queue(100.0 * a, cores, 1, r#"law = "exponential""#, 2000), time));
-    }
-    let seeds = if short { 4 } else { 40 };
-    for (name, text, expected) in forms {
-        let measured = mean_time(&text, seeds);
-        let off = (measured - expected) / expected;
-        claims.push(Claim::new(
-            format!("mean time in {name}"),
-            format!("{expected:.3} ms within 3%"),
-            format!("{measured:.3} ms, {:+.2}%", off * 100.0),
-            off.abs() <= 0.03,
-        ));
-    }
-}
-
 /// A busy day of two tiers with every kind of trouble, for checks that look at every moment.
 fn rough(seed: u64) -> String {
     let kinds = [
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -4,15 +4,25 @@
 //! rank goes first (answers before those who give up waiting for them), then the one that
 //! was planned first. Memory follows what is open at the moment, never how much has passed.
 
+mod agenda;
+mod answers;
+mod build;
+mod cold;
+mod feed;
 mod fleet;
 mod front;
 mod life;
+mod listing;
+mod played;
 mod rules;
 pub mod server;
+mod troubles;
 mod work;
 
+use agenda::{Agenda, Answer, Happening};
+pub use cold::CHANCE;
 pub use fleet::share_of;
-pub use life::CHANCE;
+pub use played::Played;
 pub use rules::{Breach, Rule};
 
 use crate::draw::{Draw, Purpose};
@@ -27,8 +37,7 @@
 use rustc_hash::FxHashMap;
 use server::{Nanos, Server};
 use slotmap::{Key, KeyData, SlotMap, new_key_type};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 new_key_type! {
@@ -153,172 +162,6 @@
     idle: Vec<Nanos>,
 }
 
-/// What may happen.
-#[derive(Clone, Copy, Debug)]
-enum Happening {
-    Arrive,
-    Try(ClientKey),
-    AtSidecar {
-        client: ClientKey,
-        try_no: u32,
-        sidecar: u32,
-        process: u32,
-        due: Nanos,
-    },
-    AtClient {
-        client: ClientKey,
-        try_no: u32,
-        answer: Answer,
-    },
-    GiveUp {
-        client: ClientKey,
-        try_no: u32,
-    },
-    Leave {
-        client: ClientKey,
-        try_no: u32,
-    },
-    Overdue {
-        flow: FlowKey,
-    },
-    Wake {
-        sidecar: u32,
-        process: u32,
-        token: u64,
-    },
-    AtServer(JobKey),
-    Step {
-        server: u32,
-        plan: u32,
-    },
-    Crowd {
-        server: u32,
-    },
-    Back(JobKey, Option<LoadReport>),
-    Short {
-        flow: FlowKey,
-        attempt: u8,
-        outcome: Outcome,
-    },
-    AttemptDue {
-        flow: FlowKey,
-        attempt: u8,
-    },
-    Stop(JobKey),
-    Listed {
-        server: u32,
-        state: cottonpoint_decide::EndpointState,
-    },
-    Told {
-        sidecar: u32,
-        process: u32,
-        server: u32,
-        state: cottonpoint_decide::EndpointState,
-        started: Option<Nanos>,
-    },
-    Whole {
-        sidecar: u32,
-        process: u32,
-    },
-    NoList {
-        sidecar: u32,
-        process: u32,
-    },
-    Trouble {
-        number: u32,
-        begins: bool,
-    },
-    DrainServer {
-        server: u32,
-        ends: Nanos,
-    },
-    EndServer {
-        server: u32,
-        replace: bool,
-    },
-    Second,
-}
-
-/// A final answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Answer {
-    Served,
-    Refused(Option<Duration>),
-    Failed,
-    /// The sidecar could not be reached, or died.
-    Unreachable,
-}
-
-impl Happening {
-    /// Which of two at the same nanosecond goes first: what completes, then what is sent, then what gives up.
-    fn rank(&self) -> u8 {
-        match self {
-            Happening::Trouble { .. } | Happening::DrainServer { .. } | Happening::EndServer { .. } => 0,
-            Happening::AtClient { .. } | Happening::Back(..) | Happening::Short { .. } => 1,
-            Happening::Step { .. } | Happening::Crowd { .. } => 2,
-            Happening::Listed { .. }
-            | Happening::Told { .. }
-            | Happening::Whole { .. }
-            | Happening::NoList { .. } => 3,
-            Happening::Arrive
-            | Happening::Try(_)
-            | Happening::AtSidecar { .. }
-            | Happening::AtServer(_)
-            | Happening::Stop(_) => 4,
-            Happening::Wake { .. } => 5,
-            Happening::AttemptDue { .. } => 6,
-            Happening::Leave { .. } | Happening::GiveUp { .. } | Happening::Overdue { .. } => 7,
-            Happening::Second => 8,
-        }
-    }
-}
-
-/// What is planned, by time, rank and number. The heap holds small keys only, and what happens lies in places that
-/// are used again: at 50,000 requests a second half a million events are planned at any moment.
-#[derive(Default)]
-struct Agenda {
-    /// Time, then rank (8 bits) and number (56 bits), then the place.
-    keys: BinaryHeap<Reverse<(Nanos, u64, u32)>>,
-    places: Vec<Happening>,
-    free: Vec<u32>,
-    planned: u64,
-}
-
-impl Agenda {
-    fn plan(&mut self, at: Nanos, what: Happening) {
-        self.planned += 1;
-        let place = match self.free.pop() {
-            Some(place) => {
-                self.places[place as usize] = what;
-                place
-            }
-            None => {
-                self.places.push(what);
-                self.places.len() as u32 - 1
-            }
-        };
-        self.keys.push(Reverse((at, u64::from(what.rank()) << 56 | self.planned, place)));
-    }
-
-    fn next(&mut self) -> Option<(Nanos, Happening)> {
-        let Reverse((at, _, place)) = self.keys.pop()?;
-        self.free.push(place);
-        Some((at, self.places[place as usize]))
-    }
-
-    fn retain(&mut self, keep: impl Fn(&Happening) -> bool) {
-        let places = &self.places;
-        let free = &mut self.free;
-        self.keys.retain(|Reverse((_, _, place))| {
-            let kept = keep(&places[*place as usize]);
-            if !kept {
-                free.push(*place);
-            }
-            kept
-        });
-    }
-}
-
 /// A cut between some sidecars and some servers, by index.
 struct Cut {
     trouble: u32,
@@ -375,7 +218,7 @@
     burst: f64,
     cuts: Vec<Cut>,
     struck: BTreeMap<u32, Vec<u32>>,
-    pressures: FxHashMap<u32, life::Pressure>,
+    pressures: FxHashMap<u32, cold::Pressure>,
     /// Servers that were pushed over: they stay down.
     fallen: Vec<u32>,
     rules: Rules,
@@ -545,149 +388,4 @@
         }
         true
     }
-
-    /// Plays the day to its end: until the last client has had its answer or gone.
-    pub fn play(mut self) -> Played {
-        while self.step() {}
-        self.into_played()
-    }
-
-    /// What came of it, as far as it has been played.
-    pub fn into_played(mut self) -> Played {
-        let servers = self.servers.iter_mut().map(|s| {
-            s.advance(self.now);
-            crate::score::ServerRow {
-                tier: s.build.tier,
-                kind: s.build.kind,
-                capacity: s.build.cores * s.build.speed,
-                worked: s.worked,
-                completed: s.completed,
-            }
-        });
-        self.book.servers = servers.collect();
-        Played {
-            book: self.book,
-            breaches: self.rules.breaches,
-            breach_count: self.rules.count,
-            happened: self.happened,
-            decisions: self.decisions,
-            trace: self.trace,
-        }
-    }
-
-    /// The time, in nanoseconds since the start of the day.
-    pub fn now(&self) -> Nanos {
-        self.now
-    }
-
-    /// Events, flows, requests at servers and clients that are held in memory now.
-    pub fn held(&self) -> [usize; 4] {
-        [self.agenda.keys.len(), self.flows.len(), self.jobs.len(), self.clients.len()]
-    }
-
-    /// Whether nothing got lost: each client is open or has ended once, each piece of work done is for an answer
-    /// that was had, for nothing, or under way. Returns what does not add up.
-    pub fn audit(&mut self) -> Result<(), String> {
-        let b = &self.book;
-        let ended = b.served + b.late + b.refused + b.failed + b.left;
-        if b.arrived != ended + self.clients.len() as u64 {
-            let open = self.clients.len();
-            return Err(format!("{} clients arrived, {ended} ended and {open} are open", b.arrived));
-        }
-        for s in &mut self.servers {
-            s.advance(self.now);
-        }
-        let done: f64 = self.servers.iter().map(|s| s.worked).sum();
-        let under_way: f64 = self
-            .jobs
-            .values()
-            .map(|j| match j.stage {
-                Stage::Running(at, part) => j.carried + part - self.servers[j.server as usize].left(at),
-                _ => j.carried,
-            })
-            .sum();
-        let accounted = self.book.useful_work + self.book.wasted_work + under_way;
-        if (done - accounted).abs() > 1e-8 * done.max(1.0) {
-            return Err(format!("{done} s of work were done and {accounted} s are accounted for"));
-        }
-        Ok(())
-    }
-
-    fn is_process(&self, sidecar: u32, process: u32) -> bool {
-        let s = &self.sidecars[sidecar as usize];
-        s.alive && s.process == process
-    }
-
-    /// Feeds one event to a sidecar's decider and carries out what it asks for.
-    fn feed(&mut self, sidecar: u32, event: Event<'_>) {
-        let mut actions = self.spare.pop().unwrap_or_default();
-        let time = decider_time(self.now);
-        self.decisions += 1;
-        let truth = Truth { now: self.now, servers: &self.servers };
-        self.sidecars[sidecar as usize].decider.handle(time, event, &truth, &mut actions);
-        for action in actions.drain(..) {
-            self.act(sidecar, action);
-        }
-        self.spare.push(actions);
-    }
-
-    fn act(&mut self, sidecar: u32, action: Action) {
-        match action {
-            Action::Send { id, endpoint, until } => self.send(sidecar, id, endpoint, until),
-            Action::Refuse { id, retry_after } => {
-                self.answer(sidecar, flow_key(id), Answer::Refused(retry_after));
-            }
-            Action::Fail { id } => self.answer(sidecar, flow_key(id), Answer::Failed),
-            Action::Cancel { id, attempt } => self.cancel(flow_key(id), attempt),
-            // No scenario lets sidecars probe.
-            Action::Probe { .. } => {}
-            Action::SetTimer { after, token } => {
-                let at = self.now.saturating_add(after.as_nanos() as u64);
-                let process = self.sidecars[sidecar as usize].process;
-                self.plan(at, Happening::Wake { sidecar, process, token: token.0 });
-            }
-            Action::Subscribe => self.subscribe(sidecar),
-        }
-    }
-
-    fn delay(&mut self, mean: u64) -> Nanos {
-        let jitter = self.scenario.network.jitter;
-        (mean as f64 * (1.0 + jitter * (2.0 * self.network.share() - 1.0))) as Nanos
-    }
-
-    fn one_way(&mut self) -> Nanos {
-        self.delay(self.scenario.network.one_way.0)
-    }
-
-    fn reachable(&self, sidecar: u32, server: u32) -> bool {
-        let cut = |c: &Cut| {
-            c.sidecars.get(sidecar as usize).is_some_and(|x| *x)
-                && c.servers.get(server as usize).is_some_and(|x| *x)
-        };
-        !self.cuts.iter().any(cut)
-    }
-
-    fn call_of(&self, flow: FlowKey) -> Option<Call> {
-        let f = self.flows.get(flow)?;
-        let tenant = (!self.scenario.tenants.is_empty()).then_some(TenantId(f.tenant));
-        let due = decider_time(f.due);
-        Some(Call { id: request_id(flow), class: ClassId(f.class), tenant, due, cost: None })
-    }
-}
-
-/// What came of a day.
-#[derive(Debug)]
-pub struct Played {
-    /// All that was counted.
-    pub book: Book,
-    /// The first breaches of rules, each with its time and cause.
-    pub breaches: Vec<Breach>,
-    /// Breaches by rule, in the order of [`Rule::ALL`].
-    pub breach_count: [u64; 5],
-    /// Events played.
-    pub happened: u64,
-    /// Events fed to deciders.
-    pub decisions: u64,
-    /// The life of the traced client.
-    pub trace: Vec<String>,
 }
