Laboratory: gate, the shares of each class and tenant against a policy that sees late

The rival 'late' sees the true state as late as the tier's load reports are and takes the best of three drawn servers that could serve in time. Not taken: the best of all of them, since with old news all sidecars choose the same server (Mitzenmacher, 2000). The world keeps such views only where a decider asks for them.

--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! What each sub-command does.
 
 mod compare;
+mod gate;
 mod hunt;
 mod league;
 mod results;
@@ -87,6 +88,9 @@
         Command::League { seeds, out, policy, scenarios } => {
             league::league(&scenarios, &policy, seeds, &out)
         }
+        Command::Gate { seeds, policy, set, form, scenarios } => {
+            gate::gate(&scenarios, &policy, &set, seeds, form)
+        }
         Command::Results { what, form } => results::results(what, form),
         Command::Up { length, rate, form } => up(length.map(Into::into), rate, form),
         Command::Program(_) => Err("the program is started elsewhere".into()),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod draw;
 pub mod experiment;
 pub mod fleet;
+pub mod gate;
 pub mod live;
 pub mod policies;
 pub mod prove;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -108,6 +108,23 @@
         #[bpaf(positional("SCENARIO"), many)]
         scenarios: Vec<String>,
     },
+    /// Hold the shares served of each class and tenant against a policy that sees the true state late
+    #[bpaf(command)]
+    Gate {
+        /// Seeds, from 0
+        #[bpaf(long, argument("N"), fallback(10), display_fallback)]
+        seeds: u64,
+        /// The policy
+        #[bpaf(long, argument("POLICY"), fallback("ours".to_owned()), display_fallback)]
+        policy: String,
+        #[bpaf(external, many)]
+        set: Vec<(String, String)>,
+        #[bpaf(external)]
+        form: Form,
+        /// Scenarios: files, or names under lab/scenarios
+        #[bpaf(positional("SCENARIO"), some("name a scenario"))]
+        scenarios: Vec<String>,
+    },
     /// Look at kept results
     #[bpaf(command)]
     Results {
@@ -182,7 +199,7 @@
     /// The seed
     #[bpaf(long, argument("N"), fallback(1), display_fallback)]
     seed: u64,
-    /// The policy: ours, or random, round-robin, least-out, p2c, peak-ewma, wrr, prequal, least-time or top,
+    /// The policy: ours, or random, round-robin, least-out, p2c, peak-ewma, wrr, prequal, least-time, late or top,
     /// with +aimd, +gradient and +budget behind it
     #[bpaf(long, argument("POLICY"), fallback("ours".to_owned()), display_fallback)]
     policy: String,
--- a/crates/lab/src/policies/broken.rs
+++ b/crates/lab/src/policies/broken.rs
@@ -1,4 +1,4 @@
-//! Policies that break one rule each, to show that its checker sees it.
+//! Policies that break one rule each, or starve some calls, to show that what judges them sees it.
 
 use super::{Decider, Policy, Truth};
 use crate::world::Rule;
@@ -86,3 +86,34 @@
         }
     }
 }
+
+/// Ours, but it refuses all calls of a class or of a tenant as they come.
+pub struct Starves {
+    class: Option<ClassId>,
+    tenant: Option<TenantId>,
+    inner: Box<dyn Decider>,
+}
+
+impl Starves {
+    /// A decider that starves the class and the tenant.
+    pub fn new(
+        class: Option<ClassId>,
+        tenant: Option<TenantId>,
+        settings: Settings,
+        seed: u64,
+        now: Time,
+    ) -> Starves {
+        Starves { class, tenant, inner: Policy::Ours.make(settings, seed, now) }
+    }
+}
+
+impl Decider for Starves {
+    fn handle(&mut self, now: Time, event: Event<'_>, truth: &Truth<'_>, actions: &mut Vec<Action>) {
+        if let Event::Arrived(call) = event
+            && (self.class == Some(call.class) || self.tenant.is_some() && self.tenant == call.tenant)
+        {
+            return actions.push(Action::Refuse { id: call.id, retry_after: None });
+        }
+        self.inner.handle(now, event, truth, actions);
+    }
+}
--- a/crates/lab/src/policies/mod.rs
+++ b/crates/lab/src/policies/mod.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod rival;
 
+use crate::world::View;
 use crate::world::server::{Nanos, Server};
 use cottonpoint_decide::{Action, Balancer, Event, Settings, Time};
 pub use limits::Limiting;
@@ -14,12 +15,15 @@
 use std::fmt;
 use std::str::FromStr;
 
-/// The true state of the world. Only the policy that gives the top looks at it.
+/// The true state of the world. Only the policies that give the top and the mark of the gate look at it.
 pub struct Truth<'a> {
     /// The time.
     pub now: Nanos,
     /// All servers that ever were, by index, which is their id.
     pub servers: &'a [Server],
+    /// The same servers as they were when the reports were made that a sidecar has by now; empty unless some decider
+    /// [sees it late](Decider::sees_late).
+    pub late: &'a [View],
 }
 
 /// What decides for one sidecar: the same events and actions as [`Balancer`].
@@ -27,6 +31,11 @@
     /// Takes one event and appends what is to be done about it.
     fn handle(&mut self, now: Time, event: Event<'_>, truth: &Truth<'_>, actions: &mut Vec<Action>);
 
+    /// Whether it looks at the true state of a while ago.
+    fn sees_late(&self) -> bool {
+        false
+    }
+
     /// The limit on running calls that it goes by now, if it has one.
     fn limit(&self) -> Option<f64> {
         None
@@ -53,7 +62,7 @@
 }
 
 /// The names of all choices with what they are.
-pub const CHOICES: [(&str, Choice); 9] = [
+pub const CHOICES: [(&str, Choice); 10] = [
     ("random", Choice::Random),
     ("round-robin", Choice::RoundRobin),
     ("least-out", Choice::LeastOut),
@@ -62,6 +71,7 @@
     ("wrr", Choice::WeightedByReport),
     ("prequal", Choice::HotCold),
     ("least-time", Choice::LeastTime),
+    ("late", Choice::LateState),
     ("top", Choice::TrueState),
 ];
 
--- a/crates/lab/src/policies/rival/choose.rs
+++ b/crates/lab/src/policies/rival/choose.rs
@@ -29,8 +29,15 @@
     /// Sees the true state: the server where the call would be done first, and a refusal at once where that is
     /// too late. What it reaches is the top.
     TrueState,
+    /// Sees the true state as late as load reports are, and takes the best of a few drawn servers: with old news the
+    /// best of all draws everybody to the same one (Mitzenmacher, "How Useful Is Old Information?", 2000).
+    LateState,
 }
 
+/// Servers that are drawn where the state is seen late: Mitzenmacher finds two or three best for news as old as a
+/// few service times.
+const LATE_DRAWS: usize = 3;
+
 pub(super) const DECAY_S: f64 = 10.0;
 const HOT: f64 = 0.84;
 const WEIGHT_EXPIRES: Duration = Duration::from_secs(180);
@@ -107,27 +114,31 @@
                 let done = |i: usize| self.true_time(&self.targets[i], class, truth);
                 least(&done)
             }
+            Choice::LateState => {
+                let class = usize::from(call.class.0);
+                let done = |i: usize| self.true_time(&self.targets[i], class, truth);
+                let able: Vec<usize> = ready.iter().copied().filter(|&i| done(i).is_finite()).collect();
+                let draws = LATE_DRAWS.min(able.len());
+                let drawn: Vec<usize> = (0..draws).map(|_| able[self.draw.below(able.len())]).collect();
+                let done = |i: usize| self.true_time(&self.targets[i], class, truth);
+                drawn.into_iter().min_by(|&a, &b| done(a).total_cmp(&done(b)).then(a.cmp(&b)))
+            }
         }
     }
 
-    /// How long a call would take at a server, by its true state. What this sidecar has out counts where it has
-    /// not arrived yet.
+    /// How long a call would take at a server, by its true state, as it is or as it was. What this sidecar has out
+    /// counts where it has not arrived yet.
     pub(super) fn true_time(&self, t: &Target, class: usize, truth: &Truth<'_>) -> f64 {
-        let Some(s) = truth.servers.get(t.id.0 as usize) else { return f64::INFINITY };
-        if s.life != Life::Up || s.failing > 0.2 || s.gray {
-            return f64::INFINITY;
-        }
-        if s.holds() >= s.build.slots + s.build.room {
-            return f64::INFINITY;
-        }
-        let core = s.capacity(truth.now) / s.build.cores;
-        let ahead = s.wants_core().max(t.out as usize / 2) as f64;
-        let wait = if s.holds() >= s.build.slots { 2.0 } else { 1.0 };
-        // Crowding must not begin: a server close to it counts as slower still.
-        let crowd = match s.build.choke {
-            Some(c) if s.wants_core() as f64 > 0.6 * c.waiting * s.build.cores => 3.0,
-            _ => 1.0,
+        let place = t.id.0 as usize;
+        let view = match self.choice {
+            Choice::LateState => truth.late.get(place).copied(),
+            _ => truth.servers.get(place).map(|s| View::of(s, truth.now)),
         };
-        self.work[class] / core.max(1e-9) * (1.0 + ahead / s.build.cores) * wait * crowd
+        let Some(s) = view.filter(|s| s.takes) else { return f64::INFINITY };
+        let ahead = s.wants_core.max(t.out as usize / 2) as f64;
+        let wait = if s.slots_taken { 2.0 } else { 1.0 };
+        // Crowding must not begin: a server close to it counts as slower still.
+        let crowd = if s.near_crowding { 3.0 } else { 1.0 };
+        self.work[class] / s.core.max(1e-9) * (1.0 + ahead / s.cores) * wait * crowd
     }
 }
--- a/crates/lab/src/policies/rival/mod.rs
+++ b/crates/lab/src/policies/rival/mod.rs
@@ -11,7 +11,7 @@
 use super::limits::{Limit, Limiting};
 use super::{Decider, Truth};
 use crate::draw::{Draw, Purpose};
-use crate::world::server::Life;
+use crate::world::View;
 pub use choose::Choice;
 use choose::DECAY_S;
 use cottonpoint_decide::*;
@@ -129,7 +129,7 @@
     fn try_send(&mut self, now: Time, id: RequestId, truth: &Truth<'_>, actions: &mut Vec<Action>) -> bool {
         let Some((call, until)) = self.open.get(&id).map(|o| (o.call, o.worth_until)) else { return true };
         let Some(i) = self.pick(now, &call, truth) else { return false };
-        if self.choice == Choice::TrueState {
+        if matches!(self.choice, Choice::TrueState | Choice::LateState) {
             let takes = self.true_time(&self.targets[i], usize::from(call.class.0), truth);
             if takes > until.since(now).as_secs_f64() {
                 return false;
@@ -327,6 +327,10 @@
         }
     }
 
+    fn sees_late(&self) -> bool {
+        self.choice == Choice::LateState
+    }
+
     fn limit(&self) -> Option<f64> {
         Some(self.limit.value()).filter(|l| l.is_finite())
     }
--- a/crates/lab/src/score.rs
+++ b/crates/lab/src/score.rs
@@ -93,6 +93,8 @@
     pub asked: f64,
     /// Got.
     pub got: f64,
+    /// Clients that asked.
+    pub clients: u64,
 }
 
 impl Worth {
@@ -102,6 +104,7 @@
     }
 
     fn add(&mut self, asked: f64, got: f64) {
+        self.clients += 1;
         self.asked += asked;
         self.got += got;
     }
@@ -298,7 +301,8 @@
         let end = self.whole_seconds.min(self.seconds.len());
         let counted = self.seconds.get(self.warm_up.min(end)..end).unwrap_or_default();
         let service = |w: &[Second]| {
-            Worth { asked: w.iter().map(|s| s.asked).sum(), got: w.iter().map(|s| s.got).sum() }.service()
+            Worth { asked: w.iter().map(|s| s.asked).sum(), got: w.iter().map(|s| s.got).sum(), clients: 0 }
+                .service()
         };
         counted.windows(10.min(counted.len()).max(1)).map(service).fold(1.0, f64::min)
     }
--- a/crates/lab/src/world/feed.rs
+++ b/crates/lab/src/world/feed.rs
@@ -13,7 +13,12 @@
         let mut actions = self.spare.pop().unwrap_or_default();
         let time = decider_time(self.now);
         self.decisions += 1;
-        let truth = Truth { now: self.now, servers: &self.servers };
+        if let Some(late) = &mut self.late {
+            late.take(self.now, &self.servers);
+        }
+        let tier = self.sidecars[sidecar as usize].tier;
+        let late = self.late.as_ref().map_or(&[][..], |late| late.seen(self.now, tier));
+        let truth = Truth { now: self.now, servers: &self.servers, late };
         self.sidecars[sidecar as usize].decider.handle(time, event, &truth, &mut actions);
         for action in actions.drain(..) {
             self.act(sidecar, action);
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -11,6 +11,7 @@
 mod feed;
 mod fleet;
 mod front;
+mod late;
 mod life;
 mod listing;
 mod played;
@@ -22,6 +23,7 @@
 use agenda::{Agenda, Answer, Happening};
 pub use cold::CHANCE;
 pub use fleet::share_of;
+pub use late::View;
 pub use played::Played;
 pub use rules::{Breach, Rule};
 
@@ -221,6 +223,8 @@
     pressures: FxHashMap<u32, cold::Pressure>,
     /// Servers that were pushed over: they stay down.
     fallen: Vec<u32>,
+    /// The true state a while ago, where a decider looks at it.
+    late: Option<late::Views>,
     rules: Rules,
     book: Book,
     spare: Vec<Vec<Action>>,
@@ -261,6 +265,7 @@
             decisions: 0,
             quotas: vec![(f64::INFINITY, 0); scenario.tenants.len()],
             book: Book::new(scenario),
+            late: None,
             rules: Rules::new(scenario),
             servers,
             sidecars: Vec::new(),
@@ -301,6 +306,7 @@
         for server in 0..world.servers.len() {
             world.add_sidecar_beside(server as u32);
         }
+        world.late = late::Views::wanted(&world.sidecars, &world.drawn);
         world.plan_troubles();
         world.plan(0, Happening::Arrive);
         world.plan(1_000_000_000, Happening::Second);
