Lab: the fault rig, built processes behind the relay, killed, frozen and watched

What a fleet does in part failure has to be shown with the built program. A fleet of the rig is up to 64 processes, each with its own configuration, operator's file, key and state directory; its log is read all the time, its real socket learned from it; SIGKILL, SIGSTOP, SIGCONT and SIGTERM go to chosen members or to all in one loop, whose length is told. Conditions are waited for by asking PEERS again and again, with the time at which each member met them; a second watch fails at once when a condition ever does not hold. The design and its use are in docs/rig.md.

Not taken: threads with the program's parts in one process, which cannot be killed or frozen; log lines as the source of what members see, which say nothing while nothing changes.

--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -1,6 +1,15 @@
-//! The fault rig: what stands between members of a fleet, and what is done to them.
+//! The fault rig: many processes of the built program on loopback, what stands between them, and what is done to
+//! them. See `docs/rig.md`.
+//!
+//! `links` decides what becomes of a datagram and has no sockets; `relay` does it to real ones; `process` starts,
+//! signals and listens to one process; `fleet` puts all of it together; `watch` waits for what members see.
 
+pub mod files;
+pub mod fleet;
 pub mod links;
+pub mod process;
 pub mod relay;
 #[cfg(test)]
 mod tests;
+pub mod view;
+pub mod watch;
