Settings and configuration by serde derive; a fault is named by its whole path

The settings were flattened into a table of paths and words and picked out by hand, and the configuration was walked as a tree of JSON. Both are now structs with derives; `serde_path_to_error` names the key. The simulator's lines are put together into the object that they were written from and read by the same structs. The file is read straight into its types, so no tree of it is ever held.

Not taken: `serde_with` for numbers that come as words (three crates of macros for one impl of six lines, and its message does not name the text), a reader of layers such as `figment` (its values name no line), the `toml` reader for the lines (their values are bare words). What only some settings ask for (`group`, `window_ns`, `ask_within_ns`) is still read only there: a platform may leave anything in it elsewhere.

In JSON the new one refuses what the old took by chance (`[3]` for 3) or passed over (`{}`, objects in a list of words).

--- a/crates/program/src/config.rs
+++ b/crates/program/src/config.rs
@@ -1,8 +1,8 @@
 //! The sidecar's configuration: the one place that reads it, checks it and gives defaults.
 
 use cottonpoint_net::list::{Answer, Names};
-use cottonpoint_settings::{self as settings, Platform};
-use serde_json::Value;
+use cottonpoint_settings::{self as settings, BadSetting, Platform};
+use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -27,9 +27,59 @@
     }
 }
 
+impl From<BadSetting> for BadConfig {
+    fn from(BadSetting { key, why }: BadSetting) -> BadConfig {
+        BadConfig { key: if key.is_empty() { "(whole)".to_owned() } else { key }, why }
+    }
+}
+
 fn bad(key: &str, why: impl fmt::Display) -> BadConfig {
-    // One line, whatever the cause says.
-    BadConfig { key: key.to_owned(), why: why.to_string().replace('\n', " ") }
+    BadSetting::new(key, why).into()
+}
+
+/// The file's keys; others are passed over.
+#[derive(Deserialize)]
+#[serde(expecting = "an object")]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    console: Option<String>,
+    seed: Option<Seed>,
+    limits: Option<Limits>,
+    known: Option<Answer>,
+    settings: settings::Written,
+}
+
+#[derive(Deserialize)]
+#[serde(expecting = "an object")]
+struct Limits {
+    sockets: Option<Sockets>,
+}
+
+#[derive(Deserialize)]
+#[serde(try_from = "String")]
+struct Seed(u64);
+
+impl TryFrom<String> for Seed {
+    type Error = String;
+
+    fn try_from(hex: String) -> Result<Self, String> {
+        u64::from_str_radix(&hex, 16).map(Seed).map_err(|_| format!("must be hexadecimal: {hex}"))
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(try_from = "u64")]
+struct Sockets(u64);
+
+impl TryFrom<u64> for Sockets {
+    type Error = String;
+
+    fn try_from(n: u64) -> Result<Self, String> {
+        let enough = (n >= SOCKETS_MIN).then_some(Sockets(n));
+        enough.ok_or_else(|| format!("must be a whole number of at least {SOCKETS_MIN}: {n}"))
+    }
 }
 
 /// All that a sidecar is told at its start.
@@ -67,66 +117,43 @@
 
     /// Reads the configuration from JSON text.
     pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, BadConfig> {
-        let json: Value = serde_json::from_str(text).map_err(|e| bad("(whole)", e))?;
-        if !json.is_object() {
-            return Err(bad("(whole)", "must be an object"));
-        }
-        let word = |key: &str, stand_in: &str| match json.get(key) {
-            Some(Value::String(text)) => Ok(text.clone()),
-            Some(_) => Err(bad(key, "must be a string")),
-            None => variable(stand_in).ok_or_else(|| bad(key, format!("is missing, and so is {stand_in}"))),
+        let mut json = serde_json::Deserializer::from_str(text);
+        let file: File = settings::read(&mut json)?;
+        json.end().map_err(|e| bad("(whole)", e))?;
+        let word = |key: &str, given: Option<String>, stand_in: &str| {
+            let missing = || bad(key, format!("is missing, and so is {stand_in}"));
+            given.or_else(|| variable(stand_in)).ok_or_else(missing)
         };
-        let name = match (json.get("name"), variable("NODE_NAME")) {
-            (None, None) => "cottonpoint".to_owned(),
-            _ => word("name", "NODE_NAME")?,
-        };
-        let address = |key: &str, stand_in: &str| {
-            let text = word(key, stand_in)?;
+        let address = |key: &str, given: Option<String>, stand_in: &str| {
+            let text = word(key, given, stand_in)?;
             text.parse::<SocketAddr>().map_err(|_| bad(key, format!("must be an address and port: {text}")))
         };
-        let seed = match json.get("seed") {
-            None => fastrand::u64(..),
-            Some(Value::String(hex)) => u64::from_str_radix(hex, 16)
-                .map_err(|_| bad("seed", format!("must be hexadecimal: {hex}")))?,
-            Some(other) => return Err(bad("seed", format!("must be a string: {other}"))),
-        };
-        let sockets = match json.pointer("/limits/sockets") {
-            None => SOCKETS,
-            Some(n) => n.as_u64().filter(|&n| n >= SOCKETS_MIN).ok_or_else(|| {
-                bad("limits.sockets", format!("must be a whole number of at least {SOCKETS_MIN}: {n}"))
-            })?,
-        };
-        let settings = json.get("settings").ok_or_else(|| bad("settings", "is missing"))?;
+        let sockets = file.limits.and_then(|limits| limits.sockets).map_or(SOCKETS, |Sockets(n)| n);
         let mut platform =
-            settings::from_json(settings).map_err(|e| bad(&format!("settings.{}", e.key), e.why))?;
+            file.settings.platform().map_err(|e| bad(&format!("settings.{}", e.key), e.why))?;
         // On the socket any refusal may carry advice, whatever the simulator's clients are given.
         platform.balancer.limits.max_retry_after = platform.max_retry_after;
-        let known = match json.get("known") {
-            None | Some(Value::Null) => None,
-            Some(known) => {
-                let mut known: Answer =
-                    serde_json::from_value(known.clone()).map_err(|e| bad("known", e))?;
-                known.reset = true;
-                let names = Names { zones: platform.zones.clone(), kinds: platform.kinds.clone() };
-                known.listed(&names).map_err(|e| bad("known", e))?;
-                Some(known)
-            }
-        };
+        let mut known = file.known;
+        if let Some(known) = &mut known {
+            known.reset = true;
+            let names = Names { zones: platform.zones.clone(), kinds: platform.kinds.clone() };
+            known.listed(&names).map_err(|e| bad("known", e))?;
+        }
         // A flow holds a connection on either side; clients keep some more, and as many again come with no
         // flow at all.
         let spare = usize::try_from(sockets).unwrap_or(usize::MAX).min(1 << 16) - RESERVE;
-        let console = match (json.get("console"), variable("NODE_CONSOLE")) {
-            (None, None) => None,
-            _ => Some(address("console", "NODE_CONSOLE")?),
+        let console = match file.console.or_else(|| variable("NODE_CONSOLE")) {
+            None => None,
+            given => Some(address("console", given, "NODE_CONSOLE")?),
         };
         let state = variable("TMPDIR").filter(|dir| !dir.is_empty()).map(std::path::PathBuf::from);
         Ok(Config {
             console,
             state,
-            name,
-            listen: address("listen", "NODE_LISTEN")?,
-            discovery: address("discovery", "NODE_DISCOVERY")?,
-            seed,
+            name: file.name.or_else(|| variable("NODE_NAME")).unwrap_or_else(|| "cottonpoint".to_owned()),
+            listen: address("listen", file.listen, "NODE_LISTEN")?,
+            discovery: address("discovery", file.discovery, "NODE_DISCOVERY")?,
+            seed: file.seed.map_or_else(|| fastrand::u64(..), |Seed(seed)| seed),
             client_connections: spare * 5 / 8,
             target_connections: spare * 3 / 8,
             known,
--- a/crates/program/tests/config.rs
+++ b/crates/program/tests/config.rs
@@ -23,6 +23,7 @@
         ("\"seed\":\"2a\"", "\"seed\":\"z\""),
         ("\"sockets\":1024", "\"sockets\":20"),
         ("\"known\":null", "\"known\":{\"generation\":1}"),
+        ("\"known\":null", "\"known\":{\"generation\":1,\"instances\":[{\"instanceId\":7}]}"),
         ("\"settings\":", "\"setting\":"),
         ("\"me\":0,", ""),
         ("\"semantics\":\"read_like\"", "\"semantics\":\"odd\""),
@@ -33,6 +34,7 @@
         ("\"quota_per_s\":1000.0", "\"quota_per_s\":\"many\""),
         ("\"connect_timeout_ns\":500000000", "\"connect_timeout_ns\":[]"),
         ("\"cold_from\":0.3", "\"cold_from\":{}"),
+        ("}}}", "}}}}"),
     ] {
         assert!(good.contains(from), "{from}");
         let fault = Config::parse(&good.replacen(from, to, 1), |_| None).expect_err(to).to_string();
@@ -40,23 +42,25 @@
         said += &format!("{fault}\n");
     }
     assert_snapshot!(said, @r#"
-    configuration: (whole): trailing characters at line 1 column 7
-    configuration: name: must be a string
+    configuration: (whole): invalid type: string "name", expected an object (line 1, column 6)
+    configuration: name: invalid type: integer `7`, expected a string (line 1, column 9)
     configuration: listen: is missing, and so is NODE_LISTEN
     configuration: listen: must be an address and port: localhost
-    configuration: discovery: must be a string
-    configuration: seed: must be hexadecimal: z
-    configuration: limits.sockets: must be a whole number of at least 96: 20
-    configuration: known: missing field `instances`
+    configuration: discovery: invalid type: integer `8500`, expected a string (line 1, column 52)
+    configuration: seed: must be hexadecimal: z (line 1, column 75)
+    configuration: limits.sockets: must be a whole number of at least 96: 20 (line 2, column 63)
+    configuration: known.instances: is missing
+    configuration: known.instances.0.instanceId: invalid type: integer `7`, expected a string (line 2, column 118)
     configuration: settings: is missing
     configuration: settings.me: is missing
-    configuration: settings.lanes.0.semantics: cannot be read: odd
-    configuration: settings.lanes.0.semantics: is missing
-    configuration: settings.lanes.0.give_up_ns: must be above 0
-    configuration: settings.limits.max_attempts: cannot be read: -3
-    configuration: settings.orgs.0.quota_per_s: cannot be read: many
-    configuration: settings.limits.connect_timeout_ns: cannot be read: 
-    configuration: settings.obligations.cold_from: is missing
+    configuration: settings.lanes.0.semantics: unknown variant `odd`, expected one of `read_like`, `idempotency_key`, `non_idempotent` (line 5, column 53)
+    configuration: settings.lanes.0.semantics: is missing (line 5, column 52)
+    configuration: settings.lanes.0.give_up_ns: must be above 0 (line 6, column 50)
+    configuration: settings.limits.max_attempts: cannot be read: -3 (line 8, column 39)
+    configuration: settings.orgs.0.quota_per_s: cannot be read: many (line 7, column 137)
+    configuration: settings.limits.connect_timeout_ns: cannot be read: [] (line 9, column 88)
+    configuration: settings.obligations.cold_from: cannot be read: {} (line 10, column 67)
+    configuration: (whole): trailing characters at line 11 column 61
     "#);
 }
 
