Lab: relays of TCP for the rig, that delay, hold one way or reset

Recovery and shedding need faults between a sidecar and discovery, its servers and its clients, which speak TCP.

Not taken: to drop bytes as the relay of datagrams does, since TCP between two live ends never loses any; to leave a connect unanswered, which needs rights over the network.

--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -1,7 +1,8 @@
 //! The fault rig: many processes of the built program on loopback, what stands between them, and what is done to
 //! them. See `docs/rig.md`.
 //!
-//! `links` decides what becomes of a datagram and has no sockets; `relay` does it to real ones; `process` starts,
+//! `links` decides what becomes of a datagram and has no sockets; `relay` does it to real ones, and `stream` does the
+//! like to TCP; `process` starts,
 //! signals and listens to one process; `fleet` puts all of it together; `watch` waits for what members see.
 
 pub mod files;
@@ -9,6 +10,7 @@
 pub mod links;
 pub mod process;
 pub mod relay;
+pub mod stream;
 #[cfg(test)]
 mod tests;
 pub mod view;
--- a/crates/lab/src/rig/tests.rs
+++ b/crates/lab/src/rig/tests.rs
@@ -1,9 +1,11 @@
-//! The relay with plain sockets behind it.
+//! The relays with plain sockets behind them.
 
 use super::links::{Change, Counts, Faults};
 use super::relay::{Relay, Undelivered};
+use super::stream::{StreamFaults, Streams};
 use std::collections::BTreeSet;
-use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -97,3 +99,64 @@
     let passed = relay.counts(0, 1).expect("it exists").passed;
     send_until(&|counts| counts.passed > passed);
 }
+
+/// A target that answers each byte with the next one, until its client closes; it serves one client after the other.
+fn target() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut byte = [0];
+            while (&stream).read_exact(&mut byte).is_ok() && (&stream).write_all(&[byte[0] + 1]).is_ok() {}
+        }
+    });
+    address
+}
+
+fn ask(mut stream: &TcpStream, byte: u8) -> io::Result<u8> {
+    let mut answer = [byte];
+    stream.write_all(&answer)?;
+    stream.read_exact(&mut answer)?;
+    Ok(answer[0])
+}
+
+/// Guards against: bytes lost, doubled or let through on a link that holds them, a delay that is none, connections
+/// that outlive a reset, and a relay that does not find the next process of a target.
+#[test]
+fn streams_are_held_delayed_and_reset() {
+    let streams = Streams::start(2).expect("ports");
+    let client = || {
+        let stream = TcpStream::connect(streams.address(1)).expect("it listens");
+        stream.set_read_timeout(Some(SOON)).expect("a wait");
+        stream
+    };
+    assert!(ask(&client(), 1).is_err(), "there is no target yet");
+    streams.lead_to(1, Some(target()));
+    let first = client();
+    assert_eq!(ask(&first, 1).expect("an answer"), 2);
+
+    streams.set(1, StreamFaults { hold_back: true, ..StreamFaults::default() });
+    first.set_read_timeout(Some(Duration::from_millis(50))).expect("a wait");
+    assert!(ask(&first, 10).is_err(), "the answer is held");
+    let (delay, begun) = (Duration::from_millis(30), Instant::now());
+    while streams.counts(1).there < 2 {
+        assert!(begun.elapsed() < SOON, "what was asked is not held");
+        thread::sleep(Duration::from_millis(2));
+    }
+    first.set_read_timeout(Some(SOON)).expect("a wait");
+    streams.set(1, StreamFaults { delay, ..StreamFaults::default() });
+    let mut held = [0];
+    (&first).read_exact(&mut held).expect("it comes when nothing holds it any more");
+    assert_eq!((held[0], ask(&first, 20).expect("an answer")), (11, 21));
+    assert!(begun.elapsed() >= 2 * delay, "there and back: {:?}", begun.elapsed());
+
+    streams.set(1, StreamFaults { reset: true, ..StreamFaults::default() });
+    let end = (&first).read(&mut held).expect_err("it is reset").kind();
+    assert_eq!(end, io::ErrorKind::ConnectionReset);
+    assert!(ask(&client(), 1).is_err(), "and so are new ones");
+    streams.set(1, StreamFaults::default());
+    streams.lead_to(1, Some(target()));
+    assert_eq!(ask(&client(), 30).expect("an answer"), 31);
+    let counts = streams.counts(1);
+    assert_eq!((counts.connections, counts.reset, counts.back), (4, 3, 4));
+}
