Test of the writer's wait: both endpoints out may go to the slow disk in one text

The story of the disk that hangs waited for ever where the second call came before the writer's thread had taken the first text: the newest alone is written, so the pipe is then in the file's place and nobody writes to it.

--- a/crates/program/tests/sidecar/stop.rs
+++ b/crates/program/tests/sidecar/stop.rs
@@ -164,10 +164,11 @@
     let (pipe, ended) = stopping_on_a_hung_disk(state.path());
     // Without clients it would end 0.7 s after the word.
     assert!(ended.recv_timeout(Duration::from_millis(1500)).is_err(), "it ends before all is written");
-    std::fs::read_to_string(pipe).expect("the disk comes round");
+    let read = std::fs::read_to_string(pipe).expect("the disk comes round");
     ended.recv().expect("it ends");
-    let kept = std::fs::read_to_string(state.path().join(OUT_FILE)).expect("a file");
-    assert_eq!(kept, r#"["t0","t1"]"#);
+    // Both endpoints may have gone through the pipe, which is then in the file's place; or the second text is the file.
+    let both = r#"["t0","t1"]"#;
+    assert!(read == both || std::fs::read_to_string(state.path().join(OUT_FILE)).expect("a file") == both);
 }
 
 /// Guards against: a disk that hangs keeping a process beyond the time when SIGKILL may come.
