One clock for silence: silent watches begun anew at once, pushed lists asked for unbidden

Found: a list whose settings say pushed was never asked for on sockets. The watch waited for the balancer's word, and a balancer with pushed lists never asks (decide/policy/timers.rs, discovery_failed returns, and no first timer), so that such a sidecar had no list but its configuration's for good. And a silent watch was given up 1.2 s after its wait and begun anew after the balancer's first pause of up to 0.75 s: 0.05 s before what it missed counts as told.

Design: a small machine, net/list/watch.rs, says how long a call may last and when the next one is made; how a call ended goes in. Silent calls that wait are given up 1.1 s after the wait and made anew within 0.1 s (drawn), 0.8 s before that moment; silent calls for the whole list three times in a row. An agent's list is asked for at the start and 25 to 200 ms after a failure, a connection has 0.2 s: 0.4 s after an outage at the latest. All else is left to the balancer as before.

Shown: the worst cases as tests in virtual time (silence at any moment of the wait, twenty in a row; outages of 0 to 20 s, refused or never up); on loopback a pushed list at the start, after breaks, an outage, a 503 and noise, after 10 s of silence, and when SIGHUP makes it one; lists indented, byte by byte and chunked. fastrand draws the moments.

--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -1,10 +1,14 @@
-//! The list: discovery, asked when the balancer asks, then watched for as long as the watch holds.
+//! The list: discovery, asked when the balancer asks (an agent's list: at once), then watched for as long as the
+//! watch holds. When each call is made and given up stands in `watch`.
+
+mod watch;
 
 use crate::servers::Servers;
 use crate::within;
 use async_channel::Receiver;
-use async_io::Async;
+use async_io::{Async, Timer};
 use cottonpoint_codec::buffer::Buffer;
+use cottonpoint_codec::http::Fault;
 use cottonpoint_core::{Clock, Lifecycle, Listed, Sidecar, target_id};
 use cottonpoint_decide::*;
 use futures_lite::{AsyncWriteExt, future};
@@ -13,14 +17,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
+use watch::{Ended, Next, PATIENCE, Watch};
 
-/// How long a watch may wait before discovery answers it all the same.
-const HOLD: Duration = Duration::from_secs(10);
-/// An answer that is later than this beyond its wait counts as failed.
-///
-/// What discovery has to tell counts as told 2 s after a wait ends, whether it arrived or not: by then a lost
-/// answer must have been asked for again, the balancer's first pause of up to 0.75 s included.
-const PATIENCE: Duration = Duration::from_millis(1200);
 const LIST_LIMIT: usize = 4 << 20;
 
 /// Discovery's answer, as it stands in a configuration's `known` too.
@@ -89,10 +87,20 @@
     }
 }
 
+/// Where discovery is, and how it tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it is an agent that lists are pushed to (the settings' `discovery`): what that holds counts as told at
+    /// once, so it is asked without the balancer's word.
+    pub pushed: bool,
+}
+
 /// The next place of discovery; never, once there is nobody to name one.
-async fn next(moved: &Receiver<SocketAddr>) -> SocketAddr {
+async fn next(moved: &Receiver<Place>) -> Place {
     match moved.recv().await {
-        Ok(address) => address,
+        Ok(place) => place,
         Err(_) => future::pending().await,
     }
 }
@@ -103,21 +111,37 @@
     pub sidecar: Rc<Sidecar>,
     /// Whose connections to targets that want nothing new are closed.
     pub servers: Rc<Servers>,
-    /// Where discovery listens.
-    pub discovery: SocketAddr,
+    /// Where discovery is.
+    pub discovery: Place,
     /// How the list names things.
     pub names: Names,
     /// The version last told; `None` before any.
     pub generation: Option<u64>,
-    /// Where discovery listens from now on, whenever that changes.
-    pub moved: Receiver<SocketAddr>,
+    /// Where discovery is from now on, whenever that changes.
+    pub moved: Receiver<Place>,
+    /// Draws the moments of calls.
+    pub random: fastrand::Rng,
 }
 
 /// What a call came to.
 enum Asked {
     Told(ListKind, Vec<Listed>),
-    Failed(io::Error),
-    Moved(SocketAddr),
+    Failed(Failure),
+    Moved(Place),
+    /// Nobody is left to ask for.
+    Over,
+}
+
+/// Why a call came to nothing.
+struct Failure {
+    ended: Ended,
+    why: io::Error,
+}
+
+impl From<io::Error> for Failure {
+    fn from(why: io::Error) -> Failure {
+        Failure { ended: Ended::Failed, why }
+    }
 }
 
 /// The reason last said of an outage: one that lasts is said once; the log bounds the rate of those that change.
@@ -141,98 +165,107 @@
 }
 
 impl Watcher {
-    /// Waits for the balancer to ask, watches until that fails, and so on. The balancer decides when to ask
-    /// again; that it asks while the watch is on changes nothing. Where discovery moves to is asked at once:
-    /// the old place closes its connections, and what the new one has to tell counts as told soon.
+    /// Makes one call after the other, each when its clock or the balancer says. That the balancer asks while a watch
+    /// is on changes nothing. Where discovery moves to is asked at once: the old place closes its connections, and
+    /// what the new one has to tell counts as told soon.
     pub async fn run(mut self, asked: Receiver<()>) {
-        let mut said = Said::default();
+        let (mut said, mut connection) = (Said::default(), None);
+        let (mut watch, mut then) = Watch::new(self.discovery.pushed);
+        let moved = self.moved.clone();
         loop {
-            let moved = self.moved.clone();
-            let wait = async { asked.recv().await.ok().map(|()| None) };
-            match future::or(async { Some(Some(next(&moved).await)) }, wait).await {
-                Some(Some(address)) => self.move_to(address),
-                Some(None) => {}
-                None => return,
-            }
-            let mut connection = None;
-            let failure = loop {
-                let call = async {
-                    match self.ask(&mut connection).await {
-                        Ok((kind, listed)) => Asked::Told(kind, listed),
-                        Err(failure) => Asked::Failed(failure),
+            let call = async {
+                match then {
+                    Next::After(Duration::ZERO) => {}
+                    Next::After(pause) => drop(Timer::after(pause).await),
+                    Next::WhenAsked if asked.recv().await.is_err() => return Asked::Over,
+                    Next::WhenAsked => {}
+                }
+                match self.ask(&watch, &mut connection).await {
+                    Ok((kind, listed)) => Asked::Told(kind, listed),
+                    Err(failure) => Asked::Failed(failure),
+                }
+            };
+            match future::or(async { Asked::Moved(next(&moved).await) }, call).await {
+                Asked::Told(kind, listed) => {
+                    if said.ends() {
+                        tracing::info!("discovery answers again");
                     }
-                };
-                let call = future::or(async { Asked::Moved(next(&moved).await) }, call).await;
-                let (kind, listed) = match call {
-                    Asked::Told(kind, listed) => (kind, listed),
-                    Asked::Failed(failure) => break failure,
-                    Asked::Moved(address) => {
-                        connection = None;
-                        self.move_to(address);
-                        continue;
+                    let (generation, lines) = (self.generation, listed.len());
+                    tracing::debug!(generation, lines, ?kind, "discovery told");
+                    self.sidecar.listed(kind, &listed);
+                    self.servers.keep_only(|target| self.sidecar.takes_work(target));
+                    then = watch.ended(Ended::Told, 0.0);
+                }
+                Asked::Failed(Failure { ended, why }) => {
+                    if said.fails(&why.to_string()) {
+                        tracing::warn!(failure = %why, "discovery failed, the old list holds");
                     }
-                };
-                if said.ends() {
-                    tracing::info!("discovery answers again");
+                    tracing::debug!(failure = %why, ?ended, "discovery failed");
+                    while asked.try_recv().is_ok() {}
+                    self.sidecar.list_failed();
+                    then = watch.ended(ended, self.random.f64());
                 }
-                tracing::debug!(
-                    generation = self.generation,
-                    lines = listed.len(),
-                    ?kind,
-                    "discovery told"
-                );
-                self.sidecar.listed(kind, &listed);
-                self.servers.keep_only(|target| self.sidecar.takes_work(target));
-            };
-            if said.fails(&failure.to_string()) {
-                tracing::warn!(%failure, "discovery failed, the old list holds");
+                Asked::Moved(place) => {
+                    connection = None;
+                    self.move_to(place);
+                    (watch, then) = Watch::moved(place.pushed);
+                }
+                Asked::Over => return,
             }
-            tracing::debug!(%failure, "discovery failed");
-            while asked.try_recv().is_ok() {}
-            self.sidecar.list_failed();
         }
     }
 
     /// Discovery is elsewhere from now on. Its versions there may be others: the whole list is asked for.
-    fn move_to(&mut self, address: SocketAddr) {
-        self.discovery = address;
+    fn move_to(&mut self, place: Place) {
+        self.discovery = place;
         self.generation = None;
     }
 
     /// One call: for the whole list at first, then for what is newer.
-    async fn ask(&mut self, connection: &mut Option<Connection>) -> io::Result<(ListKind, Vec<Listed>)> {
-        let (query, hold) = match self.generation {
-            Some(g) => (format!("?from={g}&hold_ms={}", HOLD.as_millis()), HOLD),
-            None => (String::new(), Duration::ZERO),
-        };
+    async fn ask(
+        &mut self,
+        watch: &Watch,
+        connection: &mut Option<Connection>,
+    ) -> Result<(ListKind, Vec<Listed>), Failure> {
+        let hold = watch.hold(self.generation.is_none());
+        let query = self.generation.map(|g| format!("?from={g}&hold_ms={}", hold.as_millis()));
+        let (query, address) = (query.unwrap_or_default(), self.discovery.address);
         let mut c = match connection.take() {
             Some(c) => c,
             None => {
-                let stream = within(PATIENCE, Async::<TcpStream>::connect(self.discovery)).await?;
+                let stream = within(watch.connects_within(), Async::<TcpStream>::connect(address)).await?;
                 stream.get_ref().set_nodelay(true)?;
                 Connection { stream, buffer: Buffer::default() }
             }
         };
         tracing::debug!(generation = self.generation, "asks discovery");
-        let call = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {}\r\n\r\n", self.discovery);
+        let call = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         let exchange = async {
             c.stream.write_all(call.as_bytes()).await?;
             let answer = crate::read_answer(&mut c.buffer, &mut c.stream, LIST_LIMIT, PATIENCE).await;
-            answer.map_err(|fault| io::Error::other(fault.to_string()))
+            answer.map_err(|fault| match fault {
+                Fault::Stalled => io::ErrorKind::TimedOut.into(),
+                fault => io::Error::other(fault.to_string()),
+            })
+        };
+        let silent = |why: io::Error| match why.kind() {
+            io::ErrorKind::TimedOut => Failure { ended: Ended::Silent { waits: !hold.is_zero() }, why },
+            _ => why.into(),
         };
-        let (_, status, body, keep) = within(hold + PATIENCE, exchange).await?;
+        let answer = within(watch.answers_within(hold), exchange).await.map_err(silent)?;
+        let (_, status, body, keep) = answer;
         if status != 200 {
-            return Err(io::Error::other(format!("status {status}")));
+            return Err(io::Error::other(format!("status {status}")).into());
         }
-        let answer: Answer = serde_json::from_slice(&body)?;
+        let answer: Answer = serde_json::from_slice(&body).map_err(io::Error::from)?;
         let listed = answer.listed(&self.names).map_err(io::Error::other)?;
         if !answer.reset && self.generation.is_some_and(|held| answer.generation < held) {
             // What else has passed is not known: the whole list is asked for next.
             self.generation = None;
-            return Err(io::Error::other("a change to an older list than the one held"));
+            return Err(io::Error::other("a change to an older list than the one held").into());
         }
         if answer.reset && listed.1.is_empty() && self.sidecar.has_targets() {
-            return Err(io::Error::other("an empty list in place of one with targets"));
+            return Err(io::Error::other("an empty list in place of one with targets").into());
         }
         self.generation = Some(answer.generation);
         if keep && c.buffer.is_empty() {
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -7,11 +7,11 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use cottonpoint_core::{Clock, Executor, Sidecar};
-use cottonpoint_decide::ListKind;
+use cottonpoint_decide::{Discovery, ListKind};
 use cottonpoint_mesh::{Command, Mesh};
 use cottonpoint_net::clients::Clients;
 use cottonpoint_net::console::Call;
-use cottonpoint_net::list::{Names, Watcher};
+use cottonpoint_net::list::{Names, Place, Watcher};
 use cottonpoint_net::servers::{Servers, Terms};
 use futures_lite::{Stream, StreamExt, future};
 use std::cell::{Cell, RefCell};
@@ -112,10 +112,11 @@
     let watcher = Watcher {
         sidecar: sidecar.clone(),
         servers: servers.clone(),
-        discovery: config.discovery,
+        discovery: place(&config),
         names,
         generation,
         moved,
+        random: fastrand::Rng::with_seed(config.seed),
     };
     executor.spawn(watcher.run(asked)).detach();
     let clients = Clients::new(
@@ -131,7 +132,7 @@
         // An upgrade: the older process has watched discovery all along, and its news holds for this one
         // soon after this one is ready. The whole list is asked for at once, not at a spread-out time.
         tracing::info!("started beside an older process: discovery is asked at once");
-        let _ = moves.try_send(config.discovery);
+        let _ = moves.try_send(place(&config));
     }
     if let Some(Err(e)) = succession.as_ref().map(Succession::announce) {
         tracing::warn!(%e, "a newer process beside this one could not be announced");
@@ -182,8 +183,8 @@
                         bounded.set_platform(config.platform.clone());
                         *classes.borrow_mut() = config.platform.classes.clone();
                     }
-                    if config.discovery != current.discovery {
-                        let _ = moves.try_send(config.discovery);
+                    if place(&config) != place(&current) {
+                        let _ = moves.try_send(place(&config));
                     }
                     bounded.set_bound(config.client_connections);
                     servers.set_bound(config.target_connections);
@@ -233,6 +234,11 @@
     Ok(())
 }
 
+/// Where discovery is, by that configuration.
+fn place(config: &Config) -> Place {
+    Place { address: config.discovery, pushed: config.platform.balancer.discovery == Discovery::Pushed }
+}
+
 /// Waits until a connection has closed, or for the timer.
 async fn one_closed_or(clients: &Clients, timer: Timer) {
     future::or(clients.one_closed(), async {
--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -6,5 +6,6 @@
 mod discovery;
 mod forwards;
 mod life;
+mod list;
 mod peers;
 mod stop;
