Adapter: records as types with the wire's layout, read and written whole by zerocopy

The cursor took each field by hand, and the order of a record's fields was the order of the calls that read it. Each record's fixed fields now stand as a type as they lie on the wire, and the library checks the length: no read can panic, and a list of endpoints is checked once and not field by field. Not taken: `bytes::Buf`, which leaves the layout in the order of the calls, and whose plain `get_*` panic on short input.

The new test pins the length of each record that is read: with a field of another width, or a record cut short anywhere, it fails.

--- a/crates/program/src/bin/cottonpoint-adapter/main.rs
+++ b/crates/program/src/bin/cottonpoint-adapter/main.rs
@@ -1,5 +1,6 @@
 //! Plays balancers on the bench's wire: events in on standard input, actions out on standard output.
 
+mod layout;
 mod wire;
 
 use cottonpoint::settings::{self, ReportFields};
--- a/crates/program/src/bin/cottonpoint-adapter/wire.rs
+++ b/crates/program/src/bin/cottonpoint-adapter/wire.rs
@@ -1,8 +1,14 @@
 //! Reading and writing the bench's frames: plain translation, no decisions.
+//!
+//! Records are read and written whole, as types with the wire's [layout](crate::layout). Short input is an error;
+//! fields behind those known are passed over.
 
+use crate::layout::*;
 use cottonpoint::settings::ReportFields;
 use cottonpoint::*;
 use std::time::Duration;
+use zerocopy::little_endian::{F32, U16, U32, U64};
+use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
 
 /// Why input could not be taken; one plain line.
 #[derive(Debug, PartialEq, Eq)]
@@ -30,99 +36,73 @@
         Reader { bytes, what }
     }
 
-    fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
-    }
-
-    fn array<const N: usize>(&mut self) -> Result<[u8; N]> {
-        match self.bytes.split_first_chunk::<N>() {
-            Some((head, rest)) => {
+    fn several<T: FromBytes + Immutable + KnownLayout + Unaligned>(&mut self, n: usize) -> Result<&'a [T]> {
+        match <[T]>::ref_from_prefix_with_elems(self.bytes, n) {
+            Ok((several, rest)) => {
                 self.bytes = rest;
-                Ok(*head)
+                Ok(several)
             }
-            None => malformed(format!("truncated {}", self.what)),
+            Err(_) => malformed(format!("truncated {}", self.what)),
         }
     }
 
-    fn take(&mut self, n: usize) -> Result<&'a [u8]> {
-        match self.bytes.split_at_checked(n) {
-            Some((head, rest)) => {
+    fn next<T: FromBytes + Immutable + KnownLayout + Unaligned>(&mut self) -> Result<&'a T> {
+        match T::ref_from_prefix(self.bytes) {
+            Ok((one, rest)) => {
                 self.bytes = rest;
-                Ok(head)
+                Ok(one)
             }
-            None => malformed(format!("truncated {}", self.what)),
+            Err(_) => malformed(format!("truncated {}", self.what)),
         }
     }
 
-    fn u8(&mut self) -> Result<u8> {
-        Ok(self.array::<1>()?[0])
-    }
-    fn u16(&mut self) -> Result<u16> {
-        Ok(u16::from_le_bytes(self.array()?))
-    }
-    /// The next four bytes.
-    pub fn u32(&mut self) -> Result<u32> {
-        Ok(u32::from_le_bytes(self.array()?))
-    }
     /// The next eight bytes.
     pub fn u64(&mut self) -> Result<u64> {
-        Ok(u64::from_le_bytes(self.array()?))
-    }
-    fn f32(&mut self) -> Result<f64> {
-        Ok(f64::from(f32::from_le_bytes(self.array()?)))
+        Ok(self.next::<U64>()?.get())
     }
 
     fn request(&mut self) -> Result<RequestId> {
         Ok(RequestId(self.u64()?))
     }
 
-    fn endpoint(&mut self) -> Result<EndpointId> {
-        let [a, b, c, d, e, f] = self.array()?;
-        Ok(EndpointId(u64::from_le_bytes([a, b, c, d, e, f, 0, 0])))
-    }
-
-    fn outcome(&mut self) -> Result<Outcome> {
-        Ok(match self.u16()? {
-            0 => Outcome::Ok,
-            11 => Outcome::Full,
-            110 => Outcome::TimedOut,
-            111 => Outcome::ConnectFailed,
-            104 => Outcome::Reset,
-            125 => Outcome::Cancelled,
-            114 => Outcome::Moot,
-            // 5, and whatever else an endpoint may come to say: it may have run.
-            _ => Outcome::Error,
-        })
-    }
-
-    fn elapsed(&mut self) -> Result<Duration> {
-        Ok(Duration::from_nanos(self.u64()?))
-    }
-
     fn report(&mut self, fields: &ReportFields) -> Result<Option<LoadReport>> {
-        let count = usize::from(self.u8()?);
-        let mut values = Vec::with_capacity(count);
-        for _ in 0..count {
-            values.push(self.f32()?);
-        }
-        let report = fields.report(|i| values.get(i).copied());
+        let count = usize::from(*self.next::<u8>()?);
+        let values: &[F32] = self.several(count)?;
+        let report = fields.report(|i| values.get(i).map(|v| f64::from(v.get())));
         Ok((count > 0).then_some(report))
     }
+}
 
-    fn entry(&mut self) -> Result<Endpoint> {
-        let zone = ZoneId(self.u16()?);
-        let _nominal = self.f32()?;
-        let kind = KindId(self.u16()?);
-        let state = match self.u8()? {
+fn outcome(code: U16) -> Outcome {
+    match code.get() {
+        0 => Outcome::Ok,
+        11 => Outcome::Full,
+        110 => Outcome::TimedOut,
+        111 => Outcome::ConnectFailed,
+        104 => Outcome::Reset,
+        125 => Outcome::Cancelled,
+        114 => Outcome::Moot,
+        // 5, and whatever else an endpoint may come to say: it may have run.
+        _ => Outcome::Error,
+    }
+}
+
+impl Entry {
+    fn endpoint(&self) -> Result<Endpoint> {
+        let state = match self.state {
             1 => EndpointState::Ready,
             2 => EndpointState::Draining,
             0 => EndpointState::Gone,
             other => return malformed(format!("unknown endpoint state {other}")),
         };
-        let cell = CellId(self.u16()?);
-        let id = self.endpoint()?;
-        let started = Some(self.u64()?).filter(|&t| t != 0).map(Time);
-        Ok(Endpoint { id, zone, cell, kind, state, started })
+        Ok(Endpoint {
+            id: self.endpoint.into(),
+            zone: ZoneId(self.zone.get()),
+            cell: CellId(self.cell.get()),
+            kind: KindId(self.kind.get()),
+            state,
+            started: Some(self.started.get()).filter(|&t| t != 0).map(Time),
+        })
     }
 }
 
@@ -147,39 +127,34 @@
 
 /// Reads the next record of a batch; `fields` are those of the instance it concerns.
 pub fn next_record<'a>(batch: &mut Reader<'a>, fields: &ReportFields) -> Result<Option<Record<'a>>> {
-    if batch.is_empty() {
+    if batch.bytes.is_empty() {
         return Ok(None);
     }
-    let code = batch.u8()?;
-    let length = batch.u32()? as usize;
-    let mut r = Reader::new(batch.take(length)?, name(code));
-    Ok(Some(match code {
-        26 => Record::Target(r.u16()?),
+    let head: &Head = batch.next()?;
+    let mut r = Reader::new(batch.several(head.length.get() as usize)?, name(head.code));
+    Ok(Some(match head.code {
+        26 => Record::Target(r.next::<U16>()?.get()),
         20 => {
-            let seed = r.u64()?;
-            let length = r.u32()? as usize;
-            match std::str::from_utf8(r.take(length)?) {
-                Ok(text) => Record::Start(seed, text),
+            let start: &Start = r.next()?;
+            match std::str::from_utf8(r.several(start.length.get() as usize)?) {
+                Ok(text) => Record::Start(start.seed.get(), text),
                 Err(_) => return malformed("settings are not UTF-8"),
             }
         }
         24 => Record::Killed,
         27 => {
-            let slot = r.u32()? as usize;
-            let count = r.u32()?;
+            let roster: &Roster = r.next()?;
+            let slot = roster.slot.get() as usize;
             if slot >= ROSTERS {
                 return malformed(format!("roster number {slot} out of range"));
             }
-            let mut entries = Vec::new();
-            for _ in 0..count {
-                entries.push(r.entry()?);
-            }
-            Record::Roster(slot, entries)
+            let entries: &[Entry] = r.several(roster.count.get() as usize)?;
+            Record::Roster(slot, entries.iter().map(Entry::endpoint).collect::<Result<_>>()?)
         }
         21 => {
-            let kind = r.u8()?;
-            let slot = r.u32()? as usize;
-            match kind {
+            let members: &Members = r.next()?;
+            let slot = members.slot.get() as usize;
+            match members.kind {
                 0 => Record::Members(ListKind::Delta, slot),
                 1 | 2 => Record::Members(ListKind::Full, slot),
                 3 => Record::Event(Event::DiscoveryFailed),
@@ -187,32 +162,35 @@
             }
         }
         25 => {
-            let id = r.request()?;
-            let class = ClassId(u16::from(r.u8()?));
-            let tenant = Some(TenantId(r.u16()?));
-            let _key = r.u64()?;
-            let due = Time(r.u64()?);
-            let cost = Duration::from_nanos(r.u64()?);
-            let cost = (r.u8()? & 1 != 0).then_some(cost);
-            Record::Event(Event::Arrived(Call { id, class, tenant, due, cost }))
+            let call: &Ingress = r.next()?;
+            Record::Event(Event::Arrived(Call {
+                id: RequestId(call.id.get()),
+                class: ClassId(u16::from(call.class)),
+                tenant: Some(TenantId(call.tenant.get())),
+                due: Time(call.due.get()),
+                cost: (call.marks & 1 != 0).then_some(Duration::from_nanos(call.cost.get())),
+            }))
         }
         16 => Record::Event(Event::StreamStarted { id: r.request()? }),
         18 => {
-            let id = r.request()?;
-            let outcome = r.outcome()?;
-            let attempt = r.u8()?;
-            let closed = r.u8()? != 0;
-            let elapsed = r.elapsed()?;
-            let endpoint = r.endpoint()?;
-            let report = r.report(fields)?;
-            Record::Event(Event::Finished { id, attempt, endpoint, outcome, closed, elapsed, report })
+            let done: &Done = r.next()?;
+            Record::Event(Event::Finished {
+                id: RequestId(done.id.get()),
+                attempt: done.attempt,
+                endpoint: done.endpoint.into(),
+                outcome: outcome(done.outcome),
+                closed: done.closed != 0,
+                elapsed: Duration::from_nanos(done.elapsed.get()),
+                report: r.report(fields)?,
+            })
         }
         23 => {
-            let outcome = r.outcome()?;
-            let endpoint = r.endpoint()?;
-            let _elapsed = r.elapsed()?;
-            let report = r.report(fields)?;
-            Record::Event(Event::ProbeFinished { endpoint, outcome, report })
+            let probed: &Probed = r.next()?;
+            Record::Event(Event::ProbeFinished {
+                endpoint: probed.endpoint.into(),
+                outcome: outcome(probed.outcome),
+                report: r.report(fields)?,
+            })
         }
         19 => Record::Event(Event::Departed { id: r.request()? }),
         22 => Record::Event(Event::Timer { token: TimerToken(r.u64()?) }),
@@ -248,44 +226,42 @@
 }
 
 impl Reply {
-    fn record(&mut self, code: u8, parts: &[&[u8]]) {
-        let length: usize = parts.iter().map(|p| p.len()).sum();
+    fn record(&mut self, code: u8, fields: &[u8]) {
         self.count += 1;
-        self.bytes.push(code);
-        self.bytes.extend_from_slice(&(length as u32).to_le_bytes());
-        for part in parts {
-            self.bytes.extend_from_slice(part);
-        }
+        self.bytes.extend_from_slice(Head { code, length: U32::new(fields.len() as u32) }.as_bytes());
+        self.bytes.extend_from_slice(fields);
     }
 
     fn source(&mut self, instance: u16) {
         if self.source.replace(instance) != Some(instance) {
-            self.record(92, &[&instance.to_le_bytes()]);
+            self.record(92, U16::new(instance).as_bytes());
         }
     }
 
     /// Writes one action of an instance.
     pub fn action(&mut self, instance: u16, action: Action) {
         self.source(instance);
-        let address = |e: EndpointId| e.0.to_le_bytes();
-        let nanos = |d: Duration| u64::try_from(d.as_nanos()).unwrap_or(u64::MAX).to_le_bytes();
+        let number = |id: RequestId| U64::new(id.0);
+        let nanos = |d: Duration| U64::new(u64::try_from(d.as_nanos()).unwrap_or(u64::MAX));
         match action {
             Action::Send { id, endpoint, until } => {
-                self.record(
-                    80,
-                    &[&id.0.to_le_bytes(), &address(endpoint)[..6], &until.0.max(1).to_le_bytes()],
-                );
+                let until = U64::new(until.0.max(1));
+                self.record(80, Send { id: number(id), endpoint: endpoint.into(), until }.as_bytes());
             }
             Action::Refuse { id, retry_after } => {
-                self.record(81, &[&id.0.to_le_bytes(), &nanos(retry_after.unwrap_or_default())]);
+                let retry_after = nanos(retry_after.unwrap_or_default());
+                self.record(81, Refuse { id: number(id), retry_after }.as_bytes());
+            }
+            Action::Fail { id } => self.record(82, number(id).as_bytes()),
+            Action::Cancel { id, attempt } => {
+                self.record(83, Cancel { id: number(id), attempt }.as_bytes());
             }
-            Action::Fail { id } => self.record(82, &[&id.0.to_le_bytes()]),
-            Action::Cancel { id, attempt } => self.record(83, &[&id.0.to_le_bytes(), &[attempt]]),
             Action::SetTimer { after, token } => {
-                self.record(84, &[&nanos(after.min(LONGEST_TIMER)), &token.0.to_le_bytes()]);
+                let after = nanos(after.min(LONGEST_TIMER));
+                self.record(84, SetTimer { after, token: U64::new(token.0) }.as_bytes());
             }
-            Action::Probe { endpoint } => self.record(85, &[&address(endpoint)[..6]]),
-            Action::Subscribe => self.record(90, &[&[1]]),
+            Action::Probe { endpoint } => self.record(85, Address::from(endpoint).as_bytes()),
+            Action::Subscribe => self.record(90, &[1]),
         }
     }
 
@@ -293,7 +269,7 @@
     pub fn fault(&mut self, instance: u16, text: &str) {
         self.source(instance);
         let text = &text.as_bytes()[..text.len().min(usize::from(u16::MAX))];
-        self.record(89, &[&(text.len() as u16).to_le_bytes(), text]);
+        self.record(89, &[U16::new(text.len() as u16).as_bytes(), text].concat());
     }
 
     /// The frame as it goes out.
--- a/crates/program/tests/wire.rs
+++ b/crates/program/tests/wire.rs
@@ -160,6 +160,36 @@
     complains(&batch(1, &[target(1), start(SETTINGS), members(0, 77)]), "roster number 77");
 }
 
+/// Guards against: a record's layout that has moved by a byte, and short input that ends in a panic.
+#[test]
+fn every_record_has_its_length_and_a_shorter_one_is_named() {
+    for (code, bytes, name) in [
+        (16, 8, "HEADERS"),
+        (18, 27, "DONE"),
+        (19, 8, "LAPSED"),
+        (20, 12, "NEW_INSTANCE"),
+        (21, 5, "DISCOVERY"),
+        (22, 8, "BELL"),
+        (23, 17, "ECHO"),
+        (25, 36, "INGRESS"),
+        (26, 2, "TARGET_INSTANCE"),
+        (27, 8, "ROSTER"),
+    ] {
+        for short in 0..bytes {
+            complains(&batch(1, &[target(1), record(code, &vec![0; short])]), &format!("truncated {name}"));
+        }
+        let whole = play(&batch(1, &[target(1), record(code, &vec![0; bytes])]));
+        let said = String::from_utf8(whole.stderr).expect("plain text");
+        assert!(
+            !said.contains("truncated") && whole.status.code().is_some_and(|c| c < 2),
+            "{name}: {said}"
+        );
+    }
+    // A report of three values that brings two.
+    let report = [&[0; 26][..], &[3], &[0; 8]].concat();
+    complains(&batch(1, &[target(1), record(18, &report)]), "truncated DONE");
+}
+
 #[test]
 fn a_needed_setting_that_is_missing_or_unreadable_is_named() {
     for key in [
