Tests: the peers' HTTP is read by httparse, which finds what the sidecar's own reader would pass

It now reads the head by a parser that is not the sidecar's: a head that is not HTTP, two lengths, or a length that is no number fail the story that met them. Bytes are still taken one at a time up to the message's end, as what comes behind is the next call's. Not taken: a client library (`ureq` and its like), as the stories hold connections, break them and send half messages by hand; and the sidecar's own codec, which would agree with itself.

--- a/crates/program/tests/sidecar/peers.rs
+++ b/crates/program/tests/sidecar/peers.rs
@@ -17,12 +17,31 @@
     (listener, address)
 }
 
-/// The next HTTP message on a stream, head and body, or what came before the stream ended.
+/// What a message's head says of its body's length. Read by a reader that is not the sidecar's own: what the two
+/// did not agree on would fail the story.
+fn body_length(head: &[u8]) -> usize {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let whole = if head.starts_with(b"HTTP/") {
+        httparse::Response::new(&mut headers).parse(head)
+    } else {
+        httparse::Request::new(&mut headers).parse(head)
+    };
+    let text = String::from_utf8_lossy(head);
+    assert_eq!(whole, Ok(httparse::Status::Complete(head.len())), "a head as HTTP has it: {text}");
+    let lengths = headers.iter().filter(|h| h.name.eq_ignore_ascii_case("content-length"));
+    let mut lengths = lengths.map(|h| str::from_utf8(h.value).ok().and_then(|l| l.parse().ok()));
+    let length = lengths.next().map_or(0, |l| l.expect("a length"));
+    assert_eq!(lengths.next(), None, "one length: {text}");
+    length
+}
+
+/// The next HTTP message on a stream, head and body, or what came before the stream ended. It is read byte by byte
+/// up to its end: what comes behind it is left to the next call.
 pub fn message(stream: &mut TcpStream) -> String {
     stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
     let (mut bytes, mut byte) = (Vec::new(), [0]);
-    let mut left = usize::MAX;
-    while left > 0 {
+    let mut left = None;
+    while left != Some(0) {
         match stream.read(&mut byte) {
             Ok(1) => bytes.push(byte[0]),
             Ok(_) => break,
@@ -31,12 +50,10 @@
                 break;
             }
         }
-        left -= 1;
-        if left > 1 << 20 && bytes.ends_with(b"\r\n\r\n") {
-            let head = String::from_utf8_lossy(&bytes).to_lowercase();
-            let length = head.split_once("content-length: ").and_then(|(_, l)| l.lines().next());
-            left = length.map_or(0, |l| l.parse().expect("a length"));
-        }
+        left = match left {
+            Some(left) => Some(left - 1),
+            None => bytes.ends_with(b"\r\n\r\n").then(|| body_length(&bytes)),
+        };
     }
     String::from_utf8_lossy(&bytes).replace("\r\n", "\n")
 }
