Mesh: a plane's fullest packet fits a datagram; a fallen member goes on from where it was

The planes now fill packets to PACKET_LIMIT less SEAL_ROOM = 1,176 bytes, and the seal takes 25 (1 + 8 + 16), not the 24 that they keep for it: a packet filled to the last byte was too long to send and dropped with a count. The longest datagram now follows from both (1,201 bytes; 1,200 as soon as SEAL_ROOM says 25). A worker that nothing wakes sleeps 1 ms at least, so that no plane can make it spin.

Tests: the fullest packet comes back whole; a cluster written over another's under the same key is refused (no test noticed when the HMAC left it out); after a fall versions and incarnations go on and a member that left stays so (no test noticed when versions began anew). Each fails without its part.

--- a/crates/mesh/src/lock.rs
+++ b/crates/mesh/src/lock.rs
@@ -109,7 +109,9 @@
         let under_high = high.lock();
         assert_eq!(said(&|| drop(low.lock())), "the lock of low is taken under that of high");
         assert_eq!(said(&|| drop(high.lock())), "the lock of high is taken under that of high");
+        assert_eq!(said(&assert_none_held), "the lock of high is held over I/O");
         drop(under_high);
+        assert_none_held();
         // In order, and let go in either order; a panic under locks lets go of them too.
         let (under_low, under_high) = (low.lock(), high.lock());
         assert_eq!(*under_low + *under_high, 3);
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -96,3 +96,41 @@
         panic!("a fault in the plane, made for a test");
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{id_of, tests::packet};
+    use std::panic::{AssertUnwindSafe, catch_unwind};
+    use std::time::Duration;
+
+    /// Guards against: a view whose version or incarnation goes back, or a member back in the fleet that had left it,
+    /// after a fall.
+    #[test]
+    fn a_member_that_starts_anew_goes_on_from_where_it_was() {
+        let settings = Settings {
+            me: id_of("me"),
+            name: "me".to_owned(),
+            address: "127.0.0.1:7001".parse().expect("an address"),
+            seeds: Vec::new(),
+            incarnation: 1,
+            boot: 1,
+            period: Duration::from_secs(1),
+            seed: 1,
+        };
+        let (now, mut to_do) = (Time(0), Vec::new());
+        let mut members = Members::new(settings, now);
+        members.step(now, Event::Wake, &mut to_do);
+        members.step(now, Event::Packet(&packet(9)), &mut to_do);
+        members.step(now, Event::Leave, &mut to_do);
+        let before = members.published().view;
+        assert!(before.version > 5, "many changes went by");
+        assert!(catch_unwind(AssertUnwindSafe(|| members.fall())).is_err());
+        members.step(members.wake_at, Event::Wake, &mut to_do);
+        let after = members.published().view;
+        assert!(after.version > before.version, "{} after {}", after.version, before.version);
+        assert!(after.incarnation > before.incarnation);
+        let me = after.members.iter().find(|member| member.news.id == after.me).expect("itself");
+        assert_eq!(me.news.standing, cottonpoint_peers::Standing::Left);
+    }
+}
--- a/crates/mesh/src/pool.rs
+++ b/crates/mesh/src/pool.rs
@@ -28,6 +28,8 @@
 const BATCH: usize = 32;
 /// Commands that wait at most. The loop's are few: goodbyes and returns.
 const COMMANDS: usize = 64;
+/// The least sleep of a worker that nothing wakes: whatever a plane asks for, none spins.
+const SLEEP_LEAST: Duration = Duration::from_millis(1);
 /// After a fall, or where the socket gives nothing but errors, a worker waits this long.
 const PAUSE: Duration = Duration::from_millis(10);
 
@@ -198,7 +200,7 @@
         loop {
             let mut ready = [&self.stop, &self.bell].map(|fd| PollFd::new(fd, PollFlags::IN)).to_vec();
             ready.push(PollFd::new(&self.socket, PollFlags::IN));
-            let sleep = Time(self.wake_at.load(Relaxed)).since(self.now());
+            let sleep = Time(self.wake_at.load(Relaxed)).since(self.now()).max(SLEEP_LEAST);
             if self.wait_for(&mut ready, sleep).is_err() {
                 std::thread::sleep(PAUSE); // No memory for a poll: that is all it can be.
             }
--- a/crates/mesh/src/seal.rs
+++ b/crates/mesh/src/seal.rs
@@ -5,15 +5,15 @@
 //! to 16 bytes (RFC 2104, section 5: not under half of the hash), and the payload: the packet by postcard. Nothing is
 //! read from the payload before the seal is found right.
 
-use cottonpoint_peers::Packet;
+use cottonpoint_peers::{PACKET_LIMIT, Packet, SEAL_ROOM};
 use hmac::{Hmac, KeyInit, Mac};
 use sha2::Sha256;
 use std::fmt;
 use std::ops::RangeInclusive;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The longest datagram, as the planes reckon with it.
-pub const DATAGRAM_LIMIT: usize = cottonpoint_peers::PACKET_LIMIT;
+/// The longest datagram: the longest packet that a plane makes, and the seal.
+pub const DATAGRAM_LIMIT: usize = PACKET_LIMIT - SEAL_ROOM + SEAL_LENGTH;
 /// What the seal adds to a packet.
 pub const SEAL_LENGTH: usize = MAC.end;
 /// How long a key may be, in bytes: 128 bits of chance are the least that a sealed message rests on (RFC 2104 asks
@@ -141,6 +141,7 @@
 mod tests {
     use super::*;
     use crate::tests::packet;
+    use cottonpoint_peers::NAME_LIMIT;
     use proptest::prelude::*;
 
     fn key(byte: u8) -> Key {
@@ -166,6 +167,23 @@
         }
     }
 
+    /// Guards against: a plane that fills its packets beyond what a datagram carries, seal and all.
+    #[test]
+    fn the_fullest_packet_of_a_plane_fits() {
+        let length = |packet: &Packet| postcard::to_allocvec(packet).expect("memory").len();
+        let room = PACKET_LIMIT - SEAL_ROOM;
+        let most = (1..).take_while(|&n| length(&packet(n)) <= room).last();
+        let mut full = packet(most.expect("room for one"));
+        while length(&full) < room {
+            let short = full.updates.iter_mut().find(|update| update.name.len() < NAME_LIMIT);
+            short.expect("a name to lengthen").name.push('x');
+        }
+        let seal = Seal::new("fleet", &[key(1)]);
+        let datagram = seal.seal(&full).expect("it fits");
+        assert_eq!(datagram.len(), DATAGRAM_LIMIT);
+        assert_eq!(seal.open(&datagram), Ok(full));
+    }
+
     /// Guards against: bytes behind a packet that travel along unseen, and a claimed length that is believed, both
     /// under a right seal; and a datagram too long for a path.
     #[test]
@@ -199,6 +217,10 @@
         assert!(new.open(&from(&both)).is_ok());
         assert_eq!(old.open(&from(&both)), Err(Refusal::Key));
         assert_eq!(Seal::new("other", &[key(1)]).open(&from(&old)), Err(Refusal::Cluster));
+        // One of another cluster under the same key, with our cluster written over it.
+        let mut relabelled = from(&Seal::new("other", &[key(1)]));
+        relabelled[CLUSTER].copy_from_slice(&old.cluster);
+        assert_eq!(old.open(&relabelled), Err(Refusal::Key));
         assert_eq!(Seal::new("fleet", &[]).open(&from(&old)), Err(Refusal::Key));
         assert!(Key::new(&[0; 15]).is_none() && Key::new(&[0; 1025]).is_none());
         assert_eq!(format!("{:?}", key(7)), "Key(32 bytes)", "it is never printed");
