Fleet: a new version beside the old waits for the fleet's address, and clients are served

A process started beside an older one on the same clients' address (the planned upgrade) ended with an error, since the older one holds the fleet's UDP port. Now it serves, says so once in the log and on PEERS, and asks again every 0.2 s; the older one is the member until it ends. Any other fault of the address still stops the start.

Not taken: SO_REUSEPORT for the fleet as for clients. The kernel would share the fleet's datagrams out between two processes of one name, which contradict each other.

Members are counted under `standing`, not `result`.

--- a/crates/program/src/cli.rs
+++ b/crates/program/src/cli.rs
@@ -1,7 +1,7 @@
 //! The program's command line, as a library so that the laboratory can start the very program.
 
 use crate::config::Config;
-use crate::fleet;
+use crate::fleet::Membership;
 use crate::log;
 use crate::operator::Operator;
 use crate::serve::{self, Word};
@@ -116,7 +116,7 @@
         tracing::info!(listen = %address, "serves the console");
         listener
     });
-    let fleet = fleet::start(&operator.fleet, &config.name)?;
+    let fleet = Membership::start(&operator.fleet, &config.name)?;
     tracing::info!(name = config.name, listen = %address, "serves");
     let words = signals.map(move |signal| match signal {
         Ok(Signal::Hup) => Word::Reload(Config::load(&path).map(Box::new)),
--- a/crates/program/src/console.rs
+++ b/crates/program/src/console.rs
@@ -1,5 +1,6 @@
 //! The console's calls, carried out on the running sidecar: its figures, endpoints out by hand, drains.
 
+use crate::fleet::{self, Membership};
 use crate::taken_out::{OUT_LIMIT, TakenOut};
 use cottonpoint_core::{Sidecar, target_id};
 use cottonpoint_mesh::Command;
@@ -22,7 +23,7 @@
     /// Whether the process has been told to stop.
     pub stopping: Rc<Cell<bool>>,
     /// The fleet, where it is on.
-    pub fleet: Option<cottonpoint_mesh::Handle>,
+    pub fleet: Option<Rc<Membership>>,
 }
 
 impl Console {
@@ -51,8 +52,9 @@
             Call::Health => answer_line(Ok(String::new())),
             // The figures stand alone, as one JSON line, then the line that ends them.
             Call::Dump => format!("{}\n.\n", self.figures()),
-            Call::Peers => match &self.fleet {
-                Some(fleet) => format!("{}\n.\n", crate::fleet::figures(fleet)),
+            Call::Peers => match self.fleet.as_ref().map(|fleet| fleet.handle()) {
+                Some(Some(fleet)) => format!("{}\n.\n", fleet::figures(fleet)),
+                Some(None) => answer_line(Err("the fleet's address is held by another process".to_owned())),
                 None => answer_line(Err("the fleet is off".to_owned())),
             },
             Call::Leave => {
--- a/crates/program/src/fleet.rs
+++ b/crates/program/src/fleet.rs
@@ -2,43 +2,103 @@
 //! and the metrics.
 
 use crate::operator::Fleet;
+use async_io::Timer;
 use cottonpoint_mesh::seal::Refusal;
-use cottonpoint_mesh::{Handle, Mesh, Settings, id_of};
-use cottonpoint_peers::{Part, Standing};
+use cottonpoint_mesh::{Command, Figures, Handle, Mesh, Settings, id_of};
+use cottonpoint_peers::{Counts, Part, Standing};
 use serde_json::{Map, Value, json};
-use std::net::{SocketAddr, UdpSocket};
+use std::cell::{Cell, OnceCell, RefCell};
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
 use std::time::Duration;
 
-/// Starts it, if it is on. `name` is the configuration's, for a fleet that names none.
-pub fn start(fleet: &Fleet, name: &str) -> Result<Option<Mesh>, String> {
-    let Some(listen) = fleet.listen else { return Ok(None) };
-    let name = fleet.name_or(name)?;
-    let cannot = |e: std::io::Error| format!("the fleet cannot listen on {listen}: {e}");
-    let socket = UdpSocket::bind(listen).map_err(cannot)?;
-    let bound = match socket.local_addr().map_err(cannot)? {
-        SocketAddr::V4(address) => address,
-        SocketAddr::V6(_) => listen,
-    };
-    let peers = cottonpoint_peers::Settings {
-        me: id_of(&name),
-        address: fleet.advertise.unwrap_or(bound),
-        name,
-        seeds: fleet.seeds.clone(),
-        incarnation: 1,
-        boot: fastrand::u64(..),
-        period: Duration::from_millis(fleet.period_ms),
-        seed: fastrand::u64(..),
-    };
-    let (advertise, name) = (peers.address, peers.name.clone());
-    let settings = Settings {
-        peers,
-        cluster: fleet.cluster.clone(),
-        keys: fleet.read.clone(),
-        workers: fleet.workers,
-    };
-    let mesh = Mesh::start(socket, settings).map_err(cannot)?;
-    tracing::info!(listen = %bound, %advertise, member = name, "the fleet listens");
-    Ok(Some(mesh))
+/// How often a process asks again for an address that another one holds: an older version beside it holds it for
+/// seconds, and the others have its goodbye meanwhile.
+const ASK_AGAIN: Duration = Duration::from_millis(200);
+
+/// This process in its fleet. Its address may still be held by an older version of the sidecar beside it, which is
+/// the member until it ends: two processes of one name would contradict each other.
+pub struct Membership {
+    listen: SocketAddrV4,
+    settings: Settings,
+    mesh: RefCell<Option<Mesh>>,
+    /// Where the mesh has started.
+    handle: OnceCell<Handle>,
+    /// Whether the last word was to leave.
+    left: Cell<bool>,
+}
+
+impl Membership {
+    /// Starts it, if it is on. `name` is the configuration's, for a fleet that names none. An address that another
+    /// process holds is no failure: the clients are served, and the fleet waits.
+    pub fn start(fleet: &Fleet, name: &str) -> Result<Option<Membership>, String> {
+        let Some(listen) = fleet.listen else { return Ok(None) };
+        let name = fleet.name_or(name)?;
+        let peers = cottonpoint_peers::Settings {
+            me: id_of(&name),
+            name,
+            address: fleet.advertise.unwrap_or(listen),
+            seeds: fleet.seeds.clone(),
+            incarnation: 1,
+            boot: fastrand::u64(..),
+            period: Duration::from_millis(fleet.period_ms),
+            seed: fastrand::u64(..),
+        };
+        let (cluster, keys) = (fleet.cluster.clone(), fleet.read.clone());
+        let settings = Settings { peers, cluster, keys, workers: fleet.workers };
+        let (mesh, handle, left) = Default::default();
+        let membership = Membership { listen, settings, mesh, handle, left };
+        match membership.open() {
+            Err(e) if e.kind() == ErrorKind::AddrInUse => {
+                tracing::warn!(%listen, "the fleet's address is held by another process: this one waits for it");
+            }
+            Err(e) => return Err(format!("the fleet cannot listen on {listen}: {e}")),
+            Ok(()) => {}
+        }
+        Ok(Some(membership))
+    }
+
+    fn open(&self) -> io::Result<()> {
+        let socket = UdpSocket::bind(self.listen)?;
+        let bound = socket.local_addr()?;
+        let mut settings = self.settings.clone();
+        // With port 0 the system has drawn one.
+        if let (SocketAddr::V4(bound), 0) = (bound, settings.peers.address.port()) {
+            settings.peers.address.set_port(bound.port());
+        }
+        let (advertise, member) = (settings.peers.address, settings.peers.name.clone());
+        let mesh = Mesh::start(socket, settings)?;
+        let _ = self.handle.set(mesh.handle());
+        self.mesh.replace(Some(mesh));
+        tracing::info!(listen = %bound, %advertise, member, "the fleet listens");
+        Ok(())
+    }
+
+    /// Asks for the address until it is free; not while it is to be left.
+    pub async fn wait_for_address(&self) {
+        while self.handle.get().is_none() {
+            Timer::after(ASK_AGAIN).await;
+            if !self.left.get() {
+                let _ = self.open().inspect_err(|e| tracing::debug!(%e, "the fleet cannot listen"));
+            }
+        }
+    }
+
+    /// What reads the fleet and talks to it, once it has started.
+    pub fn handle(&self) -> Option<&Handle> {
+        self.handle.get()
+    }
+
+    /// Leaves, or is a member again.
+    pub fn tell(&self, command: Command) {
+        self.left.set(command == Command::Leave);
+        self.handle.get().into_iter().for_each(|handle| handle.tell(command));
+    }
+
+    /// Ends the workers, and waits for them: they are never long in anything.
+    pub fn end(&self) {
+        drop(self.mesh.take());
+    }
 }
 
 fn standing(standing: Standing) -> &'static str {
@@ -89,12 +149,11 @@
         "unwell": view.unwell,
         "version": view.version,
         "members": members,
-        "counts": counts(fleet),
+        "counts": counts(&fleet.figures(), &snapshot.counts),
     })
 }
 
-fn counts(fleet: &Handle) -> Value {
-    let (shell, plane) = (fleet.figures(), fleet.snapshot().counts);
+fn counts(shell: &Figures, plane: &Counts) -> Value {
     let refused: Map<String, Value> =
         Refusal::ALL.iter().zip(shell.refused).map(|(why, n)| (why.word().to_owned(), n.into())).collect();
     json!({
--- a/crates/program/src/metrics.rs
+++ b/crates/program/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics: what the core has counted, in the OpenMetrics text format, on a port of the operator's.
 
+use crate::fleet::{self, Membership};
 use async_io::{Async, Timer};
 use cottonpoint_codec::buffer::Buffer;
 use cottonpoint_codec::http;
@@ -28,6 +29,11 @@
     result: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Stands {
+    standing: &'static str,
+}
+
 /// What the figures are taken from.
 pub struct Watched {
     /// The core.
@@ -37,7 +43,7 @@
     /// Connections to targets.
     pub servers: Rc<Servers>,
     /// The fleet, where it is on.
-    pub fleet: Option<cottonpoint_mesh::Handle>,
+    pub fleet: Option<Rc<Membership>>,
 }
 
 impl Watched {
@@ -75,11 +81,11 @@
             "Targets that take work",
             gauge(self.sidecar.targets_that_take_work()),
         );
-        if let Some(fleet) = &self.fleet {
-            let [members, datagrams] = crate::fleet::counted(fleet);
-            let gauges = Family::<Label, Gauge>::default();
-            for (result, n) in members {
-                gauges.get_or_create(&Label { result }).set(i64::try_from(n).unwrap_or(i64::MAX));
+        if let Some(fleet) = self.fleet.as_ref().and_then(|fleet| fleet.handle()) {
+            let [members, datagrams] = fleet::counted(fleet);
+            let gauges = Family::<Stands, Gauge>::default();
+            for (standing, n) in members {
+                gauges.get_or_create(&Stands { standing }).set(i64::try_from(n).unwrap_or(i64::MAX));
             }
             registry.register("fleet_members", "Members of the fleet held, by standing", gauges);
             let datagrams = family(&mut datagrams.into_iter());
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -2,13 +2,14 @@
 
 use crate::config::{BadConfig, Config};
 use crate::console::Console;
+use crate::fleet::Membership;
 use crate::metrics::Watched;
 use crate::taken_out::TakenOut;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use cottonpoint_core::{Clock, Executor, Sidecar};
 use cottonpoint_decide::{Discovery, ListKind};
-use cottonpoint_mesh::{Command, Mesh};
+use cottonpoint_mesh::Command;
 use cottonpoint_net::clients::Clients;
 use cottonpoint_net::console::Call;
 use cottonpoint_net::list::{Names, Place, Watcher};
@@ -75,18 +76,21 @@
 pub fn run_in_fleet(
     config: Config,
     listeners: Listeners,
-    fleet: Option<Mesh>,
+    fleet: Option<Membership>,
     words: impl Stream<Item = Word> + Unpin + 'static,
 ) -> io::Result<()> {
     let executor: Executor = Rc::new(LocalExecutor::new());
-    let handle = fleet.as_ref().map(Mesh::handle);
-    async_io::block_on(executor.run(serve(config, listeners, handle, words, executor.clone())))
+    let fleet = fleet.map(Rc::new);
+    let served =
+        async_io::block_on(executor.run(serve(config, listeners, fleet.clone(), words, executor.clone())));
+    fleet.iter().for_each(|fleet| fleet.end());
+    served
 }
 
 async fn serve(
     config: Config,
     Listeners { clients: listener, metrics, console: console_listener }: Listeners,
-    fleet: Option<cottonpoint_mesh::Handle>,
+    fleet: Option<Rc<Membership>>,
     mut words: impl Stream<Item = Word> + Unpin + 'static,
     executor: Executor,
 ) -> io::Result<()> {
@@ -162,6 +166,7 @@
         let answer: Rc<dyn Fn(Call) -> String> = Rc::new(move |call| console.answer(call));
         executor.spawn(cottonpoint_net::console::serve(listener, executor.clone(), answer))
     });
+    let _join = fleet.clone().map(|fleet| executor.spawn(async move { fleet.wait_for_address().await }));
     let counts = sidecar.clone();
     let classes = console.classes.clone();
     let watched =
--- a/crates/program/tests/fleet.rs
+++ b/crates/program/tests/fleet.rs
@@ -163,7 +163,7 @@
     let mut client = TcpStream::connect(a.metrics).expect("it listens");
     send(&mut client, "GET /metrics HTTP/1.1\nHost: a\n\n");
     let page = message(&mut client);
-    assert!(page.contains("cottonpoint_fleet_members{result=\"reachable\"} 3"), "{page}");
+    assert!(page.contains("cottonpoint_fleet_members{standing=\"reachable\"} 3"), "{page}");
 
     assert_eq!(call(b.console, "LEAVE"), "+OK\n");
     for member in [&a, &c] {
@@ -195,14 +195,44 @@
     assert_eq!(off.fleet, None);
     assert_eq!(call(off.console, "PEERS"), "-ERR the fleet is off\n");
     assert_eq!(call(off.console, "LEAVE"), "+OK\n");
-    let (mut without, none) = off.holds();
     // The same look at one that is on finds them.
     let on = Process::member(dir.path(), "on", "right", &[]);
     assert_eq!(call(on.console, "HEALTH"), "+OK\n");
-    let (mut with, one) = on.holds();
-    assert_eq!((none, one), (0, 1), "UDP sockets");
-    without.extend(["mesh-0".to_owned(), "mesh-1".to_owned()]);
-    without.sort();
-    with.sort();
-    assert_eq!(with, without, "threads");
+    assert_eq!((off.holds().1, on.holds().1), (0, 1), "UDP sockets");
+    // A thread takes its name when it first runs.
+    let start = Instant::now();
+    loop {
+        let (mut without, mut with) = (off.holds().0, on.holds().0);
+        without.extend(["mesh-0".to_owned(), "mesh-1".to_owned()]);
+        without.sort();
+        with.sort();
+        if with == without {
+            return;
+        }
+        assert!(start.elapsed() < PATIENCE, "{with:?} are not {without:?}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Guards against: a new version beside the old that does not start, because the old one still holds the fleet's
+/// address; and one that never joins.
+#[test]
+fn a_held_address_is_waited_for_and_the_clients_served() {
+    let dir = keys();
+    let older = std::net::UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let address = older.local_addr().expect("bound");
+    let table = format!(
+        "[fleet]\nlisten = \"{address}\"\ncluster = \"test\"\nkeys = [{:?}]\n",
+        dir.path().join("right")
+    );
+    let newer = Process::start(dir.path(), "newer", &table);
+    assert_eq!(call(newer.console, "HEALTH"), "+OK\n");
+    assert_eq!(call(newer.console, "PEERS"), "-ERR the fleet's address is held by another process\n");
+    drop(older);
+    let start = Instant::now();
+    while call(newer.console, "PEERS").starts_with("-ERR") {
+        assert!(start.elapsed() < PATIENCE, "it does not join");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    newer.until(|seen| seen["members"][0]["address"] == address.to_string());
 }
