--- a/crates/peers/src/news.rs
+++ b/crates/peers/src/news.rs
@@ -127,6 +127,7 @@
             suspicion.by.push(by);
             self.table.said_by(id, by);
             self.gossip.add(id);
+            self.changed();
         }
     }
 
@@ -169,8 +170,8 @@
     pub(crate) fn claimed(&mut self, news: &Update) {
         let own = &self.own.news;
         let other = news.boot != own.boot;
-        let contradicts = news.incarnation > own.incarnation
-            || (news.incarnation == own.incarnation && (other || news.standing != Standing::Reachable));
+        // What ranks below its own word needs no answer: all that hear both hold its own.
+        let contradicts = news.rank() > own.rank();
         if !contradicts {
             return;
         }
--- a/crates/peers/src/probe.rs
+++ b/crates/peers/src/probe.rs
@@ -63,8 +63,14 @@
 
     /// All that is due by now.
     pub(crate) fn due(&mut self, actions: &mut Vec<Action>) {
-        self.speak_up();
         let now = self.now;
+        if self.has_left() {
+            if self.next_period <= now {
+                self.say_goodbye(actions);
+            }
+            return;
+        }
+        self.speak_up();
         let (late, waiting) = std::mem::take(&mut self.helped).into_iter().partition(|it| it.until <= now);
         self.helped = waiting;
         let late: Vec<_> = late;
@@ -75,10 +81,11 @@
         if self.probe.as_ref().and_then(|probe| probe.direct_until).is_some_and(|until| until <= now) {
             self.ask_helpers(actions);
         }
-        self.end_suspicions();
         if self.next_period <= now {
             self.period(actions);
         }
+        // After the probe that the period ended: it may have been what confirms a suspicion long under way.
+        self.end_suspicions();
         if self.next_knock <= now && self.own_suspects().next().is_some() {
             // Thrice a period, however unwell this member is: one that lives must hear of it before its time is up.
             self.next_knock = now + self.settings.period / bounds::PARTS;
@@ -89,7 +96,10 @@
 
     /// When something falls due next.
     pub(crate) fn next_wake(&self) -> Time {
-        let raise = self.own.claim.filter(|_| !self.has_left()).map(|_| self.own.next_raise);
+        if self.has_left() {
+            return self.next_period;
+        }
+        let raise = self.own.claim.map(|_| self.own.next_raise);
         let helped = self.helped.iter().map(|helped| helped.until).min();
         let probe = self.probe.as_ref().and_then(|probe| probe.direct_until);
         let suspicions = self.suspicions.values().map(|it| it.ends(self.settings.period)).min();
@@ -97,16 +107,18 @@
         [raise, helped, probe, suspicions, knock].into_iter().flatten().fold(self.next_period, Time::min)
     }
 
-    fn period(&mut self, actions: &mut Vec<Action>) {
-        if self.has_left() {
-            let rest = if self.own.goodbyes > 0 { self.settings.period / 4 } else { self.settings.period };
-            self.next_period = self.now + rest;
-            if self.own.goodbyes > 0 {
-                self.own.goodbyes -= 1;
-                self.goodbye(actions);
-            }
-            return;
+    /// Goodbyes, some a quarter of a period for as long as there are rounds; then nothing.
+    fn say_goodbye(&mut self, actions: &mut Vec<Action>) {
+        self.next_period = self.now + self.settings.period / 4;
+        if self.own.goodbyes > 0 {
+            self.own.goodbyes -= 1;
+            self.goodbye(actions);
+        } else {
+            self.next_period = self.now + self.settings.period;
         }
+    }
+
+    fn period(&mut self, actions: &mut Vec<Action>) {
         self.end_probe();
         for id in self.table.outdated(self.now) {
             self.forget(id);
@@ -264,6 +276,8 @@
             self.raise(claimed);
             self.syncs.wanted = self.syncs.wanted.max(1);
             self.next_period = self.now;
+            // It was not there to hear an answer.
+            self.suspicions.values_mut().for_each(|suspicion| suspicion.start = self.now);
         }
     }
 }
