prove peers: what the membership plane owes, measured on fleets of 3 to 500 members

Need: the design of peers states bounds; each is to be held against a measurement, and each claim has to be able to fail.

`cottonpoint-lab prove peers` plays crashes, loss, links cut one way, splits and heals, standstills, flapping links, new processes at an address, replays and the loss of all at once, and holds the times against the formulas of `bounds`.

--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod log;
 pub mod off;
+pub mod plays;
 mod seen;
 mod setup;
 pub mod world;
--- a/crates/lab/src/fleet/seen.rs
+++ b/crates/lab/src/fleet/seen.rs
@@ -50,9 +50,7 @@
 
     /// The process that runs at a member's address, as it drew it.
     pub fn boot(&self, i: usize) -> Option<u64> {
-        let id = self.hosts[i].id;
-        let view = self.view(i)?;
-        view.members.iter().find(|member| member.news.id == id).map(|member| member.news.boot)
+        self.runs(i).then_some(self.hosts[i].boot)
     }
 
     /// Counts of a member's plane.
@@ -68,20 +66,29 @@
     /// Pairs of running members of which the first does not hold the second's own process as reachable, and pairs in
     /// which it holds a member without a process as one that answers.
     pub fn astray(&self) -> usize {
+        self.astray_each().sum()
+    }
+
+    /// Whether nobody is astray.
+    pub fn agreed(&self) -> bool {
+        self.astray_each().all(|astray| astray == 0)
+    }
+
+    fn astray_each(&self) -> impl Iterator<Item = usize> {
         let boots: Vec<_> = (0..self.hosts.len()).map(|i| self.boot(i)).collect();
         let running = (0..self.hosts.len()).filter(|i| self.runs(*i));
         let wrong = |held: &Held, boot: &Option<u64>| match boot {
             Some(boot) => held.standing != Some(Standing::Reachable) || held.boot != *boot,
             None => held.alive(),
         };
-        running.map(|i| self.held(i).iter().zip(&boots).filter(|(h, b)| wrong(h, b)).count()).sum()
+        running.map(move |i| self.held(i).iter().zip(&boots).filter(|(h, b)| wrong(h, b)).count())
     }
 
     /// Plays on in steps until all agree about all and nobody is astray, up to a time; says when it was seen so.
     pub fn run_until_agreed(&mut self, step: u64, to: u64) -> Option<u64> {
         while self.now < to {
             self.run((self.now + step).min(to));
-            if self.astray() == 0 {
+            if self.agreed() {
                 return Some(self.now);
             }
         }
--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -38,6 +38,8 @@
     seen_version: u64,
     seen: Vec<Held>,
     part: Option<Part>,
+    /// The process that runs, as it drew it.
+    pub(super) boot: u64,
     pub(super) packets: u64,
     pub(super) bytes: u64,
     pub(super) longest: usize,
@@ -110,6 +112,7 @@
             seen_version: 0,
             seen: vec![Held::default(); n],
             part: None,
+            boot: 0,
             packets: 0,
             bytes: 0,
             longest: 0,
@@ -180,6 +183,7 @@
                 self.end(i);
                 let settings = self.settings(i);
                 let now = self.clock(i);
+                self.hosts[i].boot = settings.boot;
                 self.hosts[i].plane = Some(Peers::new(settings, now));
                 self.tell(i, Event::Wake);
             }
--- a/crates/lab/src/prove/mod.rs
+++ b/crates/lab/src/prove/mod.rs
@@ -4,6 +4,7 @@
 pub mod fleet;
 pub mod hunted;
 pub mod lab;
+pub mod peers;
 
 use comfy_table::Table;
 use serde::Serialize;
@@ -44,7 +45,7 @@
 }
 
 /// All proofs.
-pub const PROOFS: [Proof; 3] = [
+pub const PROOFS: [Proof; 4] = [
     Proof {
         name: "lab",
         about: "closed forms, conservation, rule checkers, same results on one and four threads, speed, memory",
@@ -60,6 +61,11 @@
         about: "days that hunt found and that were kept: none goes worse than when it was taken in",
         run: hunted::prove,
     },
+    Proof {
+        name: "peers",
+        about: "who is there, 3 to 500 members: crashes, loss, cuts, splits, standstills, restarts, replays, bytes",
+        run: peers::prove,
+    },
 ];
 
 /// The claims as a table.
