Peers: each period knocks at a seed where nobody is known alive, so no islands at the start

Once a member had met anybody it knocked at a drawn seed one period in 32: with several seeds a fleet started as islands that nobody joined. All seeds known and alive, the knock now costs nothing; the rare one is gone.

--- a/crates/peers/src/chance.rs
+++ b/crates/peers/src/chance.rs
@@ -32,11 +32,6 @@
         if below < 2 { 0 } else { self.generator().random_range(0..below) }
     }
 
-    /// True once in `times`.
-    pub(crate) fn once_in(&mut self, times: usize) -> bool {
-        self.below(times) == 0
-    }
-
     pub(crate) fn shuffle<X>(&mut self, all: &mut [X]) {
         if all.len() > 1 {
             all.shuffle(&mut self.generator());
--- a/crates/peers/src/probe.rs
+++ b/crates/peers/src/probe.rs
@@ -6,10 +6,6 @@
 use cottonpoint_decide::Time;
 use std::time::Duration;
 
-/// A member with others around it knocks at a seed once in that many periods: for a split in which neither side
-/// remembers the other, and little beside a probe each period.
-const SEED_KNOCKS: usize = 32;
-
 /// Changes by a full exchange up to which it need not be had again: as many travel by themselves.
 const SYNC_AGAIN: u64 = 8;
 
@@ -240,14 +236,15 @@
         }
     }
 
-    /// Knocks of each period, so that splits heal: at one last known, and at a seed while alone (and rarely
-    /// otherwise).
+    /// Knocks of each period, so that splits heal and a fleet that starts does not stay in parts: at one last known,
+    /// and at one seed where nobody is known to be alive. Where all seeds are known and well this costs nothing.
     fn knocks(&mut self, actions: &mut Vec<Action>) {
         let gone = self.table.of(|standing| standing == Standing::LastKnown);
         self.knock(&gone, actions);
-        if (self.table.alive() == 0 || self.chance.once_in(SEED_KNOCKS))
-            && let Some(seed) = self.chance.one_of(&self.settings.seeds)
-        {
+        let met = self.table.alive_at(&self.settings.seeds);
+        let unmet: Vec<_> =
+            self.settings.seeds.iter().filter(|seed| !met.contains(seed)).copied().collect();
+        if let Some(seed) = self.chance.one_of(&unmet) {
             self.counts.knocks += 1;
             let number = self.chance.number();
             self.send(seed, None, Body::Ping { number }, actions);
--- a/crates/peers/src/table.rs
+++ b/crates/peers/src/table.rs
@@ -60,6 +60,12 @@
         self.alive
     }
 
+    /// Those of some addresses at which a member answers as far as is known.
+    pub(crate) fn alive_at(&self, addresses: &[SocketAddrV4]) -> Vec<SocketAddrV4> {
+        let alive = self.members.values().filter(|(news, _)| news.standing.is_alive());
+        alive.map(|(news, _)| news.address).filter(|address| addresses.contains(address)).collect()
+    }
+
     /// Says who last gave news of a member, without changing that news.
     pub(crate) fn said_by(&mut self, id: MemberId, by: MemberId) {
         if let Some((news, _)) = self.members.get_mut(&id) {
--- a/crates/peers/tests/network.rs
+++ b/crates/peers/tests/network.rs
@@ -39,6 +39,22 @@
     assert!((0..100).all(|at| net.peers(at).view().part == Part::Whole));
 }
 
+/// Guards against: islands at the start, each around a seed of its own, that stay apart for long.
+#[test]
+fn no_islands_stay_apart_after_a_start() {
+    for seed in 0..100 {
+        let mut net = Net::new(10, seed);
+        (0..10).for_each(|at| net.crash(at));
+        for at in 0..10 {
+            let seeds = vec![address(0), address(1), address(2)];
+            net.start(at, Settings { seeds, seed: seed ^ (at as u64) << 32, ..settings(at) });
+            net.run(T / 10);
+        }
+        let whole = |net: &Net| net.all_hold(|_, _, standing| standing == Standing::Reachable);
+        assert!(net.run_until(T * 3 + bounds::dissemination(10, T), whole), "{seed}");
+    }
+}
+
 /// Guards against: a split that does not heal by itself, or only at some members.
 #[test]
 fn a_split_heals_at_all_members() {
