Peers: the smaller part of a split names itself in time: silence alone slows no member

In a small part most probes fail. Now a member finds itself unwell by answers that come after their probe was over, by late wakes and by having to contradict; and a suspicion waits only for confirmations that members not suspected could still give.

--- a/crates/peers/src/news.rs
+++ b/crates/peers/src/news.rs
@@ -147,7 +147,7 @@
 
     /// Suspicions whose time has come.
     pub(crate) fn end_suspicions(&mut self) {
-        let over = |suspicion: &Suspicion| suspicion.ends(self.settings.period) <= self.now;
+        let over = |suspicion: &Suspicion| self.ends(suspicion) <= self.now;
         let over: Vec<_> = self.suspicions.iter().filter(|(_, it)| over(it)).map(|(id, _)| *id).collect();
         for id in over {
             let Some(held) = self.table.get(id) else { continue };
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -34,6 +34,9 @@
     /// When the next knock at a suspect of its own is due, if there is one.
     pub(crate) next_knock: Time,
     pub(crate) probe: Option<Probe>,
+    /// The last probes that nobody answered in time, oldest first: an answer that comes yet shows that it was not the
+    /// network.
+    pub(crate) unanswered: Vec<Probe>,
     /// Whom to probe next, from the end.
     pub(crate) round: Vec<MemberId>,
     /// Pings sent on behalf of others.
@@ -102,12 +105,6 @@
     fn hash<H: std::hash::Hasher>(&self, _: &mut H) {}
 }
 
-impl Suspicion {
-    pub(crate) fn ends(&self, period: Duration) -> Time {
-        self.start + bounds::suspicion(self.members, period, self.by.len().saturating_sub(1), self.wanted)
-    }
-}
-
 impl Peers {
     /// A member that has not started yet: the first [`Event::Wake`] starts it. A name over [`NAME_LIMIT`] bytes is
     /// cut, a period under a millisecond is taken as one.
@@ -141,6 +138,7 @@
             next_period: now,
             next_knock: now,
             probe: None,
+            unanswered: Vec::new(),
             round: Vec::new(),
             helped: Vec::new(),
             unwell: 0,
@@ -221,6 +219,20 @@
         self.version.0 += 1;
     }
 
+    /// When a suspicion runs out, as things stand. Confirmations are waited for only as far as there are members left
+    /// that could give one: those that are suspected themselves cannot, so that a small part of a split need not wait
+    /// for the other side's word.
+    pub(crate) fn ends(&self, suspicion: &Suspicion) -> Time {
+        let counts = |id: &MemberId| {
+            *id == self.settings.me || self.table.standing(*id) == Some(Standing::Reachable)
+        };
+        let spoken = suspicion.by.iter().filter(|id| counts(id)).count();
+        let reachable = self.table.alive().saturating_sub(self.suspicions.len());
+        let got = suspicion.by.len().saturating_sub(1);
+        let wanted = suspicion.wanted.min(got + (reachable + 1).saturating_sub(spoken));
+        suspicion.start + bounds::suspicion(suspicion.members, self.settings.period, got, wanted)
+    }
+
     /// Members that answer, this one included.
     pub(crate) fn size(&self) -> usize {
         self.table.alive() + 1
--- a/crates/peers/src/probe.rs
+++ b/crates/peers/src/probe.rs
@@ -6,6 +6,10 @@
 use cottonpoint_decide::Time;
 use std::time::Duration;
 
+/// Probes without an answer that are remembered: an answer that is late by that many periods still shows that the
+/// waits are too short, and those grow with the first that comes.
+const UNANSWERED: usize = 4;
+
 /// Changes by a full exchange up to which it need not be had again: as many travel by themselves.
 const SYNC_AGAIN: u64 = 8;
 
@@ -20,6 +24,8 @@
     pub(crate) silent: Vec<MemberId>,
     /// All that were asked.
     pub(crate) helpers: Vec<MemberId>,
+    /// Whether the one probed may yet answer itself.
+    pub(crate) awaited: bool,
 }
 
 /// A ping on behalf of another member.
@@ -98,7 +104,7 @@
         let raise = self.own.claim.map(|_| self.own.next_raise);
         let helped = self.helped.iter().map(|helped| helped.until).min();
         let probe = self.probe.as_ref().and_then(|probe| probe.direct_until);
-        let suspicions = self.suspicions.values().map(|it| it.ends(self.settings.period)).min();
+        let suspicions = self.suspicions.values().map(|it| self.ends(it)).min();
         let knock = self.own_suspects().next().map(|_| self.next_knock);
         [raise, helped, probe, suspicions, knock].into_iter().flatten().fold(self.next_period, Time::min)
     }
@@ -125,8 +131,8 @@
             Some(whom) => {
                 let number = self.chance.number();
                 let direct_until = Some(self.now + self.stretched(self.settings.period / bounds::PARTS));
-                self.probe =
-                    Some(Probe { whom, number, direct_until, silent: Vec::new(), helpers: Vec::new() });
+                let (silent, helpers, awaited) = (Vec::new(), Vec::new(), true);
+                self.probe = Some(Probe { whom, number, direct_until, silent, helpers, awaited });
                 self.counts.pings += 1;
                 self.send_to(whom, Body::Ping { number }, actions);
             }
@@ -189,10 +195,11 @@
         if !self.table.standing(probe.whom).is_some_and(Standing::is_alive) {
             return;
         }
-        // Helpers that say that they have no answer either show that this member hears well; silent ones do not.
-        let missed = if probe.helpers.is_empty() { 1 } else { probe.silent.len() as u32 };
-        self.set_unwell(self.unwell + missed);
         self.suspect(probe.whom);
+        if self.unanswered.len() == UNANSWERED {
+            self.unanswered.remove(0);
+        }
+        self.unanswered.push(probe);
     }
 
     /// The member probed has answered, directly or through a helper; or one pinged for another has.
@@ -204,6 +211,7 @@
             self.counts.acks += 1;
             self.set_unwell(self.unwell.saturating_sub(1));
         }
+        self.late_answer(from, number);
         let helped = self.helped.iter().position(|helped| helped.number == number && helped.whom == from);
         if let Some(helped) = helped.map(|at| self.helped.swap_remove(at)) {
             let body = Body::Ack { number: helped.asked };
@@ -219,6 +227,25 @@
             probe.silent.swap_remove(at);
             self.counts.nacks += 1;
         }
+        self.late_answer(from, number);
+    }
+
+    /// An answer to a probe that was over: this member's waits are too short, by its own fault or by that of its
+    /// links. Silence alone is no such sign: in the small part of a split most are silent, and there longer waits
+    /// would only put off the finding.
+    fn late_answer(&mut self, from: MemberId, number: u32) {
+        let Some(probe) = self.unanswered.iter_mut().find(|probe| probe.number == number) else { return };
+        let silent = probe.silent.iter().position(|id| *id == from);
+        let late = match silent {
+            Some(at) => {
+                probe.silent.swap_remove(at);
+                true
+            }
+            None => probe.whom == from && std::mem::take(&mut probe.awaited),
+        };
+        if late {
+            self.set_unwell(self.unwell + 1);
+        }
     }
 
     /// Those that this member suspects by its own probe.
--- a/crates/peers/tests/network.rs
+++ b/crates/peers/tests/network.rs
@@ -78,6 +78,24 @@
     }
 }
 
+/// Guards against: a smaller part in which some go on for long as if they were the whole fleet, because most probes
+/// fail there and too few are left to confirm a suspicion.
+#[test]
+fn all_of_a_smaller_part_name_it_in_time() {
+    for (members, small, seed) in
+        [(10, 1), (10, 3), (50, 16)].map(|(n, k)| (0..10).map(move |s| (n, k, s))).into_iter().flatten()
+    {
+        let mut net = Net::settled(members, seed);
+        net.cut = (0..members)
+            .flat_map(|a| (0..members).map(move |b| (a, b)))
+            .filter(|(a, b)| (*a < small) != (*b < small))
+            .collect();
+        let named = |net: &Net| (0..small).all(|at| net.peers(at).view().part == Part::Smaller);
+        // Half of what is owed: it hangs on no confirmation from the other side.
+        assert!(net.run_until(bounds::known_to_all(members, T) / 2, named), "{small} of {members}, {seed}");
+    }
+}
+
 /// Guards against: a goodbye taken for a crash, and a member that cannot come back after one.
 #[test]
 fn a_goodbye_is_no_crash_and_can_be_taken_back() {
