Peers: a suspect is pinged once in its last period, whoever suspected it

A member that missed a refutation, and had only been told of the suspicion, held a live member dead when its time ran out (laboratory, n = 50, 39 T after a heal). Now each member pings a suspect once in the last period of its time, at most eight thrice a period; a calm fleet sends nothing more.

--- a/crates/peers/src/news.rs
+++ b/crates/peers/src/news.rs
@@ -104,7 +104,8 @@
         } else if new_suspicion {
             let members = self.size() + usize::from(!was_alive);
             let wanted = bounds::confirmations(members);
-            let suspicion = Suspicion { start: self.now, by: vec![news.by], wanted, members };
+            let suspicion =
+                Suspicion { start: self.now, by: vec![news.by], knocked: false, wanted, members };
             self.suspicions.insert(id, suspicion);
         }
         self.table.put(news, self.now);
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -31,7 +31,7 @@
     /// The wake asked for; none before the start.
     pub(crate) asked: Option<Time>,
     pub(crate) next_period: Time,
-    /// When the next knock at a suspect of its own is due, if there is one.
+    /// When the next knock at suspects is due, if there are any to be knocked at.
     pub(crate) next_knock: Time,
     pub(crate) probe: Option<Probe>,
     /// The last probes that nobody answered in time, oldest first: an answer that comes yet shows that it was not the
@@ -91,6 +91,8 @@
     pub(crate) start: Time,
     /// Members that came to it by themselves, the first one included.
     pub(crate) by: Vec<MemberId>,
+    /// It was pinged in the suspicion's last period.
+    pub(crate) knocked: bool,
     /// Confirmations that count, and members that answered, at its start.
     pub(crate) wanted: usize,
     pub(crate) members: usize,
--- a/crates/peers/src/probe.rs
+++ b/crates/peers/src/probe.rs
@@ -10,6 +10,9 @@
 /// waits are too short, and those grow with the first that comes.
 const UNANSWERED: usize = 4;
 
+/// Suspects pinged at one time for the last time: after a split half of the fleet may be due at once.
+const LAST_KNOCKS: usize = 8;
+
 /// Changes by a full exchange up to which it need not be had again: as many travel by themselves.
 const SYNC_AGAIN: u64 = 8;
 
@@ -88,11 +91,12 @@
         }
         // After the probe that the period ended: it may have been what confirms a suspicion long under way.
         self.end_suspicions();
-        if self.next_knock <= now && self.own_suspects().next().is_some() {
+        if self.knock_due().is_some_and(|due| due <= now) {
             // Thrice a period, however unwell this member is: one that lives must hear of it before its time is up.
             self.next_knock = now + self.settings.period / bounds::PARTS;
             let suspects: Vec<_> = self.own_suspects().collect();
             self.knock(&suspects, actions);
+            self.last_knocks(actions);
         }
     }
 
@@ -105,8 +109,10 @@
         let helped = self.helped.iter().map(|helped| helped.until).min();
         let probe = self.probe.as_ref().and_then(|probe| probe.direct_until);
         let suspicions = self.suspicions.values().map(|it| self.ends(it)).min();
-        let knock = self.own_suspects().next().map(|_| self.next_knock);
-        [raise, helped, probe, suspicions, knock].into_iter().flatten().fold(self.next_period, Time::min)
+        [raise, helped, probe, suspicions, self.knock_due()]
+            .into_iter()
+            .flatten()
+            .fold(self.next_period, Time::min)
     }
 
     /// Goodbyes, some a quarter of a period for as long as there are rounds; then nothing.
@@ -254,6 +260,33 @@
         self.suspicions.iter().filter(move |(_, it)| it.by.contains(&me)).map(|(id, _)| *id)
     }
 
+    /// Suspicions in whose last period the suspect is yet to be pinged, and when that period starts.
+    fn unknocked(&self) -> impl Iterator<Item = (MemberId, Time)> {
+        let period = self.settings.period.as_nanos() as u64;
+        let waiting = self.suspicions.iter().filter(|(_, it)| !it.knocked);
+        waiting.map(move |(id, it)| (*id, Time(self.ends(it).0.saturating_sub(period))))
+    }
+
+    /// When a knock at suspects is due, if there are any to be knocked at.
+    fn knock_due(&self) -> Option<Time> {
+        let own = self.own_suspects().next().map(|_| self.next_knock);
+        let last = self.unknocked().map(|(_, from)| from.max(self.next_knock)).min();
+        own.into_iter().chain(last).min()
+    }
+
+    /// Pings suspects in the last period of their time, whoever suspected them: one that lives may have contradicted
+    /// it long since, unheard here.
+    fn last_knocks(&mut self, actions: &mut Vec<Action>) {
+        let due: Vec<_> =
+            self.unknocked().filter(|(_, from)| *from <= self.now).map(|(id, _)| id).collect();
+        for id in due.into_iter().take(LAST_KNOCKS) {
+            if let Some(suspicion) = self.suspicions.get_mut(&id) {
+                suspicion.knocked = true;
+            }
+            self.knock(&[id], actions);
+        }
+    }
+
     /// Pings one of these beside the probe, drawn at random.
     fn knock(&mut self, at: &[MemberId], actions: &mut Vec<Action>) {
         if let Some(id) = self.chance.one_of(at) {
--- a/crates/peers/tests/rules.rs
+++ b/crates/peers/tests/rules.rs
@@ -171,3 +171,29 @@
     }
     assert_eq!(u64::from(peers.view().unwell), peers.counts().suspicions, "{:?}", peers.counts());
 }
+
+/// Guards against: a suspect that is only told of and falls without having been asked by this member, which may have
+/// missed its answer to all.
+#[test]
+fn a_suspect_is_pinged_in_its_last_period_whoever_suspects_it() {
+    let mut peers = started();
+    tell(&mut peers, NOW, 1, Body::Known, (1..60).map(news).collect());
+    for by in 1..5 {
+        tell(&mut peers, NOW, by, Body::Ping { number: 1 }, vec![said(59, Standing::Suspected, by)]);
+    }
+    let (mut asked, mut quarter) = (Vec::new(), 0);
+    while peers.counts().deaths == 0 && quarter < 200 {
+        quarter += 1;
+        let (now, mut actions) = (NOW + T / 4 * quarter, Vec::new());
+        peers.handle(now, Event::Wake, &mut actions);
+        for (to, number) in pings(&actions) {
+            if to == 59 {
+                asked.push(quarter);
+            } else {
+                tell(&mut peers, now, to, Body::Ack { number }, vec![]);
+            }
+        }
+    }
+    assert!(peers.counts().deaths == 1 && peers.counts().suspicions == 0, "{:?}", peers.counts());
+    assert!(asked.len() == 1 && asked[0] + 5 >= quarter, "{asked:?}, ended {quarter}");
+}
