Lab: one place for the platform's settings of a program among stand-ins

Need: up and the fault rig each wrote the same settings object. Change: live/program.rs gives it, with the class's form; only the classes differ.

--- a/crates/lab/src/live/program.rs
+++ b/crates/lab/src/live/program.rs
@@ -1,7 +1,7 @@
 //! The real program, in a process of its own: this very executable started again as `program`.
 
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -9,6 +9,33 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+/// A class of requests, as the platform's settings write it; times in milliseconds.
+pub fn class(name: &str, semantics: &str, worth: f64, aim_ms: u64, give_up_ms: u64) -> Value {
+    json!({
+        "name": name, "semantics": semantics, "group": "all", "window_ns": 10_000_000_000_u64,
+        "aim_ns": aim_ms * 1_000_000, "give_up_ns": give_up_ms * 1_000_000, "worth": worth,
+    })
+}
+
+/// The platform's settings for a program among stand-ins, with those classes.
+pub fn settings(lanes: &Value) -> Value {
+    json!({
+        "me": 0, "siblings": 1, "my_zone": 0, "azs": ["here"], "shapes": ["plain"],
+        "discovery": "on_request",
+        "telemetry": { "how": "piggyback", "fields": ["throughput", "utilization"] },
+        "lanes": lanes,
+        "orgs": [{ "name": "office", "quota_per_s": 10_000.0 }],
+        "limits": {
+            "max_attempts": 4, "may_duplicate": false, "cancelling": true, "probes": false,
+            "max_retry_after_ns": 2_000_000_000_u64, "connect_timeout_ns": 100_000_000,
+        },
+        "obligations": {
+            "ask_within_ns": 10_000_000_000_u64, "cold_from": 0.3, "warm_after_ns": 5_000_000_000_u64,
+            "fall_multiple": 3.0, "tip_after_ns": 1_500_000_000,
+        },
+    })
+}
+
 /// How long it may take to stop when told to.
 const STOPS_WITHIN: Duration = Duration::from_secs(10);
 
--- a/crates/lab/src/live/up.rs
+++ b/crates/lab/src/live/up.rs
@@ -3,7 +3,7 @@
 use super::Executor;
 use super::clients::{Class, Clients};
 use super::discovery::Discovery;
-use super::program::Program;
+use super::program::{Program, class, settings};
 use super::server::StandIn;
 use crate::report::markdown;
 use async_executor::LocalExecutor;
@@ -55,30 +55,14 @@
 
 fn configuration(discovery: &Discovery) -> serde_json::Result<Value> {
     let known: Value = serde_json::from_slice(&discovery.answer(None)?)?;
-    let class = |name: &str, semantics: &str, worth: f64, aim_ms: u64, give_up_ms: u64| {
-        json!({
-            "name": name, "semantics": semantics, "group": "all", "window_ns": 10_000_000_000_u64,
-            "aim_ns": aim_ms * 1_000_000, "give_up_ns": give_up_ms * 1_000_000, "worth": worth,
-        })
-    };
+    let lanes = json!([
+        class("view", "read_like", 1.0, 500, 1500),
+        class("order", "idempotency_key", 5.0, 1500, 4000)
+    ]);
     Ok(json!({
         "name": "up", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
         "limits": { "sockets": 1024 }, "known": known,
-        "settings": {
-            "me": 0, "siblings": 1, "my_zone": 0, "azs": ["here"], "shapes": ["plain"],
-            "discovery": "on_request",
-            "telemetry": { "how": "piggyback", "fields": ["throughput", "utilization"] },
-            "lanes": [class("view", "read_like", 1.0, 500, 1500), class("order", "idempotency_key", 5.0, 1500, 4000)],
-            "orgs": [{ "name": "office", "quota_per_s": 10_000.0 }],
-            "limits": {
-                "max_attempts": 4, "may_duplicate": false, "cancelling": true, "probes": false,
-                "max_retry_after_ns": 2_000_000_000_u64, "connect_timeout_ns": 100_000_000,
-            },
-            "obligations": {
-                "ask_within_ns": 10_000_000_000_u64, "cold_from": 0.3, "warm_after_ns": 5_000_000_000_u64,
-                "fall_multiple": 3.0, "tip_after_ns": 1_500_000_000,
-            },
-        },
+        "settings": settings(&lanes),
     }))
 }
 
--- a/crates/lab/src/rig/files.rs
+++ b/crates/lab/src/rig/files.rs
@@ -1,6 +1,7 @@
 //! The files of a fleet's members: configuration, operator's file, keys, and a state directory for each.
 
 use super::fleet::Terms;
+use crate::live::program::{class, settings};
 use serde_json::{Value, json};
 use std::ffi::OsString;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -93,24 +94,7 @@
             "name": name, "listen": "127.0.0.1:0", "console": "127.0.0.1:0",
             "discovery": self.discovery.to_string(),
             "limits": { "sockets": 128 },
-            "settings": {
-                "me": 0, "siblings": 1, "my_zone": 0, "azs": ["here"], "shapes": ["plain"],
-                "discovery": "on_request",
-                "telemetry": { "how": "piggyback", "fields": ["throughput", "utilization"] },
-                "lanes": [{
-                    "name": "view", "semantics": "read_like", "group": "all", "worth": 1.0,
-                    "window_ns": 10_000_000_000_u64, "aim_ns": 500_000_000, "give_up_ns": 1_500_000_000,
-                }],
-                "orgs": [{ "name": "office", "quota_per_s": 10_000.0 }],
-                "limits": {
-                    "max_attempts": 4, "may_duplicate": false, "cancelling": true, "probes": false,
-                    "max_retry_after_ns": 2_000_000_000_u64, "connect_timeout_ns": 100_000_000,
-                },
-                "obligations": {
-                    "ask_within_ns": 10_000_000_000_u64, "cold_from": 0.3, "warm_after_ns": 5_000_000_000_u64,
-                    "fall_multiple": 3.0, "tip_after_ns": 1_500_000_000,
-                },
-            },
+            "settings": settings(&json!([class("view", "read_like", 1.0, 500, 1500)])),
         })
     }
 }
