One way to close: half-close, drain, close, for every connection that ends here

Seen: a kept connection closed in a drain, after the word to stop, by age or to make room was dropped at once (`connection` in clients/mod.rs returned after `await_request` said false; only a last answer went through `linger`). What its client sent in that moment was answered with a reset, which threw away what the client had not read of the answer before: 2045 of 60000 bytes came. The same on a failed write, an end of the stream and a broken request. The console shut both sides and dropped what was still coming (`serve` in console.rs: a caller that sent on got EPIPE in place of its answer), the metrics shut theirs and closed over unread bytes. With 32 silent callers on the console the next one waited until their patience ended: 9.0 s with 64, due is 1 s.

Ruled out: answers with `Connection: close`, which lingered already; the moment between the peek in `await_request` and the half-close, since what comes there is read after the shutdown and thrown away.

Mend: clients/close.rs is the one place in which a connection ends, for clients, console and metrics: half-close, read and throw away for 0.7 s at most, close. Where places or descriptors are short, a connection with no answer under way closes without the wait, so room is made as fast as before; one with an answer still gives way after 0.1 s. When 32 are on the console's line, the one that has said nothing for longest makes room. TCP_NODELAY is set on console and metrics connections too.

Accepting is one loop now, before the last call and after it: an error there neither spins (`Some(Err)` went on with a yield alone) nor ends the last call with connections left in the queue.

Tests: a_request_that_crosses_a_close_is_not_sent_on_and_eats_no_answer (without the mend: "drained true: 2045 bytes of the answer"), what_comes_behind_a_call_resets_no_answer (without: "Broken pipe"), silent_callers_of_the_console_make_room (without: 9.02 s); half_a_request_is_waited_for_in_a_drain holds what was right before.

--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -1,11 +1,13 @@
 //! Clients: the listener, their connections, and the requests read from them.
 
 mod caller;
+mod close;
 mod flow;
 mod relay;
 mod room;
 mod take_in;
 
+pub use close::{LINGER, close};
 pub use relay::Reply;
 pub use take_in::{TakenIn, take_in};
 
@@ -17,7 +19,7 @@
 use cottonpoint_codec::http::{self, Fault, Framing, Head};
 use cottonpoint_core::{Executor, Sidecar, Stop};
 use cottonpoint_settings::Platform;
-use futures_lite::{AsyncWriteExt, StreamExt, future};
+use futures_lite::{AsyncWriteExt, future};
 use room::{AT_BOUND, Closable, DRAIN, DRAIN_EVERY, EARLY, Open, Stage};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
@@ -31,8 +33,6 @@
 const REQUEST_WITHIN: Duration = Duration::from_millis(2400);
 /// An answer that the client does not take for so long is given up.
 const SLOW_READER: Duration = Duration::from_secs(5);
-/// After its last answer a connection is read on for this long, so that the answer is not reset away.
-const LINGER: Duration = Duration::from_millis(700);
 /// A connection without a request is closed after this time.
 const IDLE: Duration = Duration::from_secs(120);
 /// A body may come as slowly as this (the operators' page: a client sends a body at 64 kB a second), halved
@@ -66,6 +66,8 @@
     /// The ids of the open flows.
     ids: RefCell<HashSet<String>>,
     next: Cell<u64>,
+    /// Whether the last connection that came found no place or no descriptor.
+    short: Cell<bool>,
     leaving: Cell<bool>,
     stopping: Cell<bool>,
     /// Set once the process has been told to stop and serves on for a while.
@@ -93,6 +95,7 @@
             closable: RefCell::default(),
             ids: RefCell::default(),
             next: Cell::new(0),
+            short: Cell::new(false),
             leaving: Cell::new(false),
             stopping: Cell::new(false),
             stop: Cell::new(None),
@@ -101,60 +104,56 @@
         })
     }
 
-    /// Accepts connections for good. Connections without an open flow make room; one with a flow never does.
+    /// Accepts connections until the last call, and then those that are queued: they have come to this process, and
+    /// closing the listener would reset them. Connections without an open flow make room; one with a flow never does.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
-        let take = async {
-            let _ = self.last_call.1.recv().await;
-        };
-        future::or(self.clone().accept_until_told(&listener), take).await;
-        // What is queued already has come to this process: it is taken and served, and the listener closed.
-        while let Ok((stream, _)) = listener.get_ref().accept() {
-            match Async::new(stream) {
-                Ok(stream) => {
-                    let open = Open::new(self.clone());
-                    self.executor.spawn(async move { open.0.clone().connection(stream).await }).detach();
-                }
-                Err(_) => break,
-            }
-        }
-    }
-
-    /// Takes no more connections from now on: those queued are served, and the listener is closed, so that
-    /// all that comes goes to the process beside this one that shares the address.
-    pub fn last_call(&self) {
-        let _ = self.last_call.0.try_send(());
-    }
-
-    async fn accept_until_told(self: Rc<Self>, listener: &Async<TcpListener>) {
-        let mut incoming = Box::pin(listener.incoming());
+        let mut last = false;
         loop {
             while self.open.get() >= self.connections.get() {
+                self.short.set(true);
                 self.make_room(&AT_BOUND);
-                future::or(self.one_closed(), async {
-                    Timer::after(ACCEPT_AGAIN).await;
-                })
-                .await;
+                future::or(self.one_closed(), accept_again()).await;
             }
-            match incoming.next().await {
-                Some(Ok(stream)) => {
+            match listener.get_ref().accept() {
+                Ok((stream, _)) => {
+                    self.short.set(false);
                     if self.open.get() * 10 >= self.connections.get() * 7 {
                         self.make_room(&EARLY);
                     }
-                    let open = Open::new(self.clone());
-                    self.executor.spawn(async move { open.0.clone().connection(stream).await }).detach();
+                    self.take(stream);
                     future::yield_now().await;
                 }
-                Some(Err(e)) if out_of_descriptors(&e) => {
-                    self.make_room(&AT_BOUND);
-                    self.servers.close_oldest();
-                    Timer::after(ACCEPT_AGAIN).await;
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock && last => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    let called = async { self.last_call.1.recv().await.is_ok() };
+                    let comes = async { listener.readable().await.is_err() };
+                    last = future::or(comes, called).await;
+                }
+                Err(e) => {
+                    if out_of_descriptors(&e) {
+                        self.short.set(true);
+                        self.make_room(&AT_BOUND);
+                        self.servers.close_oldest();
+                    }
+                    // Whatever it is, it may last: it is neither waited for in a spin nor the end of accepting.
+                    accept_again().await;
                 }
-                Some(Err(_)) => future::yield_now().await,
-                None => return,
             }
         }
     }
 
+    fn take(self: &Rc<Self>, stream: TcpStream) {
+        let Ok(stream) = Async::new(stream) else { return };
+        let open = Open::new(self.clone());
+        self.executor.spawn(async move { open.0.clone().connection(stream).await }).detach();
+    }
+
+    /// Takes no more connections from now on: those queued are served, and the listener is closed, so that
+    /// all that comes goes to the process beside this one that shares the address.
+    pub fn last_call(&self) {
+        let _ = self.last_call.0.try_send(());
+    }
+
     /// Requests are taken in by these settings from now on: their classes, tenants and rules.
     pub fn set_platform(&self, platform: Platform) {
         *self.platform.borrow_mut() = platform;
@@ -225,36 +224,41 @@
         let _ = self.closed.1.recv().await;
     }
 
+    /// A client's connection, from its first byte to its end.
     async fn connection(self: Rc<Self>, stream: Async<TcpStream>) {
         let _ = stream.get_ref().set_nodelay(true);
-        let mut buffer = Buffer::default();
+        let answered = self.serve(&stream).await;
+        self.end(&stream, answered).await;
+    }
+
+    /// Serves what comes on a connection until it is to end; when its last answer was written.
+    async fn serve(&self, stream: &Async<TcpStream>) -> Option<Instant> {
+        let (mut buffer, mut answered) = (Buffer::default(), None);
         let mut first_until = Some(Instant::now() + REQUEST_WITHIN);
-        while self.await_request(&stream, &mut buffer, first_until).await {
+        while self.await_request(stream, &mut buffer, first_until).await {
             let until = first_until.take().unwrap_or_else(|| Instant::now() + REQUEST_WITHIN);
-            let read = self.read(&stream, &mut buffer, until);
+            let read = self.read(stream, &mut buffer, until);
             let read = self.at_stage(Stage::Sending, read).await;
             let (reply, keep) = match read.unwrap_or(Err(Fault::Stalled)) {
                 Ok(Some((head, body))) => {
                     let keep = head.keeps_alive(&head.line[2]);
-                    (self.answer(&stream, &mut buffer, head, body).await, keep)
+                    (self.answer(stream, &mut buffer, head, body).await, keep)
                 }
-                Ok(None) => return,
+                Ok(None) => break,
                 Err(fault) => (take_in::unreadable(&fault), false),
             };
-            let Some(reply) = reply else { return };
+            let Some(reply) = reply else { break };
             // Who sends what cannot be served starts anew; and nobody gets ahead by asking without a pause.
             let keep = keep && !reply.is_last() && !self.leaving();
-            let bytes = reply.bytes(keep);
-            let sent = within(SLOW_READER, (&stream).write_all(&bytes)).await;
-            if sent.is_err() {
-                return;
-            }
-            if !keep {
-                self.at_stage(Stage::Ending, linger(&stream, &mut buffer)).await;
-                return;
+            let (mut writer, bytes) = (stream, reply.bytes(keep));
+            let sent = within(SLOW_READER, writer.write_all(&bytes)).await;
+            answered = Some(Instant::now());
+            if sent.is_err() || !keep {
+                break;
             }
             future::yield_now().await;
         }
+        answered
     }
 
     /// Waits for the first byte of a request; false when the connection is to end without one.
@@ -299,19 +303,8 @@
     }
 }
 
-/// Lets the client read the last answer before the connection goes: closing with bytes unread would reset it.
-async fn linger(stream: &Async<TcpStream>, buffer: &mut Buffer) {
-    let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
-    let mut reader = stream;
-    let drain = async {
-        loop {
-            buffer.consume(buffer.filled().len());
-            if buffer.fill(&mut reader).await? == 0 {
-                return Ok(());
-            }
-        }
-    };
-    let _ = within(LINGER, drain).await;
+async fn accept_again() {
+    Timer::after(ACCEPT_AGAIN).await;
 }
 
 fn out_of_descriptors(e: &io::Error) -> bool {
--- a/crates/net/src/console.rs
+++ b/crates/net/src/console.rs
@@ -2,14 +2,17 @@
 //! `+OK` or `-ERR`. What a call does is the caller's business, given as a function; here are the line, the
 //! bounds and the timers, so that no caller, silent or slow, holds anything of the data path.
 
+use crate::clients::{LINGER, close};
 use crate::within;
+use async_channel::Sender;
 use async_io::{Async, Timer};
 use cottonpoint_core::Executor;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use std::cell::Cell;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,7 +21,7 @@
 /// A caller that has not sent its whole line by then is let go: some send nothing, or half a call, and stay
 /// for 4 s (the operators' page); the line may still be finished until then.
 const PATIENCE: Duration = Duration::from_millis(4500);
-/// Callers served at once; past that, the newest wait in the listener's backlog. Each holds one descriptor.
+/// Callers served at once; past that, the one that has said nothing for longest makes room. Each holds one descriptor.
 const AT_ONCE: usize = 32;
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -98,65 +101,98 @@
     answer: Rc<dyn Fn(Call) -> String>,
 ) -> io::Result<()> {
     let listener = Async::new(listener)?;
-    let busy = Rc::new(Cell::new(0usize));
-    loop {
-        while busy.get() >= AT_ONCE {
+    let callers = Rc::new(Callers::default());
+    for number in 0.. {
+        while callers.served.get() >= AT_ONCE {
+            if let Some((_, let_go)) = callers.silent.borrow_mut().pop_first() {
+                let _ = let_go.try_send(());
+            }
             Timer::after(ACCEPT_AGAIN).await;
         }
         // A listener's error, such as no descriptor left, is tried again a little later.
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                busy.set(busy.get() + 1);
-                let (busy, answer) = (busy.clone(), answer.clone());
-                executor
-                    .spawn(async move {
-                        let _ = within(PATIENCE, one(&stream, &*answer)).await;
-                        let _ = stream.get_ref().shutdown(Shutdown::Both);
-                        busy.set(busy.get() - 1);
-                    })
-                    .detach();
-            }
-            Err(_) => drop(Timer::after(ACCEPT_AGAIN).await),
-        }
+        let Ok((stream, _)) = listener.accept().await else {
+            Timer::after(ACCEPT_AGAIN).await;
+            continue;
+        };
+        callers.served.set(callers.served.get() + 1);
+        let (callers, answer) = (callers.clone(), answer.clone());
+        executor
+            .spawn(async move {
+                let _ = stream.get_ref().set_nodelay(true);
+                let answered = within(PATIENCE, callers.one(number, &stream, &*answer)).await;
+                callers.silent.borrow_mut().remove(&number);
+                let owed = answered.unwrap_or(false);
+                close(&stream, if owed { LINGER } else { Duration::ZERO }).await;
+                callers.served.set(callers.served.get() - 1);
+            })
+            .detach();
+    }
+    Ok(())
+}
+
+/// Who is on the line.
+#[derive(Default)]
+struct Callers {
+    served: Cell<usize>,
+    /// Those that have not sent their whole line, in the order in which they came, and how to let them go: the next
+    /// one may not wait for their patience to end.
+    silent: RefCell<BTreeMap<u64, Sender<()>>>,
+}
+
+impl Callers {
+    /// One call on one connection; whether it was answered.
+    async fn one(
+        &self,
+        number: u64,
+        stream: &Async<TcpStream>,
+        answer: &dyn Fn(Call) -> String,
+    ) -> io::Result<bool> {
+        let (let_go, told) = async_channel::bounded(1);
+        self.silent.borrow_mut().insert(number, let_go);
+        let gives_way = async {
+            let _ = told.recv().await;
+            Ok(None)
+        };
+        let line = future::or(read_line(stream), gives_way).await?;
+        self.silent.borrow_mut().remove(&number);
+        let Some(line) = line else { return Ok(false) };
+        let reply = match line.as_deref().map(std::str::from_utf8) {
+            Ok(Ok(text)) => match Call::parse(text).inspect(|call| tracing::debug!(?call, "console")) {
+                Ok(call) => answer(call),
+                Err(bad) => answer_line(Err(bad.to_string())),
+            },
+            Ok(Err(_)) => answer_line(Err("not UTF-8".to_owned())),
+            Err(TooLong) => answer_line(Err("line too long".to_owned())),
+        };
+        let mut writer = stream;
+        writer.write_all(reply.as_bytes()).await.map(|()| true)
     }
 }
 
-/// One call on one connection.
-async fn one(stream: &Async<TcpStream>, answer: &dyn Fn(Call) -> String) -> io::Result<()> {
+/// A line of more than [`LINE_LIMIT`].
+struct TooLong;
+
+/// The line that a caller sends, without its end; `None` where it sends nothing. A call without its end is still a
+/// call, when the caller closes its side.
+async fn read_line(stream: &Async<TcpStream>) -> io::Result<Option<Result<Vec<u8>, TooLong>>> {
     let mut line = Vec::with_capacity(64);
-    let mut reader = stream;
-    let mut chunk = [0u8; 128];
-    let text = loop {
+    let (mut reader, mut chunk) = (stream, [0u8; 128]);
+    loop {
         let n = reader.read(&mut chunk).await?;
-        if n == 0 {
-            break None;
-        }
         line.extend_from_slice(&chunk[..n]);
-        if let Some(end) = line.iter().position(|&b| b == b'\n') {
-            line.truncate(end);
-            break Some(());
+        let end = line.iter().position(|&b| b == b'\n');
+        line.truncate(end.unwrap_or(line.len()));
+        if end.is_none() && line.len() > LINE_LIMIT {
+            return Ok(Some(Err(TooLong)));
         }
-        if line.len() > LINE_LIMIT {
-            let _ = (&*stream).write_all(answer_line(Err("line too long".to_owned())).as_bytes()).await;
-            return Ok(());
+        if n == 0 && line.is_empty() {
+            return Ok(None);
+        }
+        if n == 0 || end.is_some() {
+            line.pop_if(|last| *last == b'\r');
+            return Ok(Some(Ok(line)));
         }
-    };
-    // A call without its end is still a call, when the caller closes its side.
-    if text.is_none() && line.is_empty() {
-        return Ok(());
-    }
-    if line.last() == Some(&b'\r') {
-        line.pop();
     }
-    let reply = match std::str::from_utf8(&line).map_err(|_| BadCall("not UTF-8".to_owned())) {
-        Ok(text) => match Call::parse(text).inspect(|call| tracing::debug!(?call, "console")) {
-            Ok(call) => answer(call),
-            Err(bad) => answer_line(Err(bad.to_string())),
-        },
-        Err(bad) => answer_line(Err(bad.to_string())),
-    };
-    let mut writer = stream;
-    writer.write_all(reply.as_bytes()).await
 }
 
 #[cfg(test)]
--- a/crates/program/src/metrics.rs
+++ b/crates/program/src/metrics.rs
@@ -5,7 +5,7 @@
 use cottonpoint_codec::buffer::Buffer;
 use cottonpoint_codec::http;
 use cottonpoint_core::Sidecar;
-use cottonpoint_net::clients::Clients;
+use cottonpoint_net::clients::{Clients, LINGER, close};
 use cottonpoint_net::servers::Servers;
 use cottonpoint_net::within;
 use futures_lite::{AsyncWriteExt, future};
@@ -106,16 +106,19 @@
         let listener = Async::new(listener)?;
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => drop(within(PATIENCE, self.answer(stream)).await),
+                Ok((stream, _)) => {
+                    let answered = within(PATIENCE, self.answer(&stream)).await.is_ok();
+                    close(&stream, if answered { LINGER } else { Duration::ZERO }).await;
+                }
                 Err(_) => drop(Timer::after(ACCEPT_AGAIN).await),
             }
             future::yield_now().await;
         }
     }
 
-    async fn answer(&self, stream: Async<TcpStream>) -> io::Result<()> {
-        let mut buffer = Buffer::default();
-        let mut reader = &stream;
+    async fn answer(&self, stream: &Async<TcpStream>) -> io::Result<()> {
+        stream.get_ref().set_nodelay(true)?;
+        let (mut buffer, mut reader) = (Buffer::default(), stream);
         let head = http::read_head(&mut buffer, &mut reader, http::begins_request).await;
         let asked = matches!(head, Ok(Some(head)) if head.line[0] == "GET" && head.line[1] == "/metrics");
         let (status, body) = if asked { ("200 OK", self.page()) } else { ("404 Not Found", String::new()) };
@@ -124,8 +127,8 @@
              Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
             body.len()
         );
-        (&stream).write_all(answer.as_bytes()).await?;
-        stream.get_ref().shutdown(std::net::Shutdown::Write)
+        let mut writer = stream;
+        writer.write_all(answer.as_bytes()).await
     }
 }
 
--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -2,6 +2,7 @@
 #![allow(missing_docs)]
 
 mod clients;
+mod closing;
 mod console;
 mod discovery;
 mod endpoints;
