Descriptors that the system gives bound the clients, and the queue is served before the end

Seen: where the process may open fewer descriptors than the settings name (128 for 1024), idle clients took the last one (`Clients::new` in serve.rs was given the settings' share alone) and no connection to an endpoint came up any more: nobody makes room for one.

Mend: serve.rs reads the system's limit, leaves 56 of it to all but connections, and cuts both bounds in their proportion. At the end the last call is made once nobody is left, and what stands in the listener's queue is served before the listener closes. That the end comes between an arrival and its acceptance could not be forced (the event loop's own thread wakes the accepting first), so it has no test that failed before; the test of the queue beside a newer process holds what was right.

The closing test orders its events by another resting connection now: a long system table read under load came after the 0.7 s of the drain.

--- a/crates/net/src/console.rs
+++ b/crates/net/src/console.rs
@@ -22,7 +22,7 @@
 /// for 4 s (the operators' page); the line may still be finished until then.
 const PATIENCE: Duration = Duration::from_millis(4500);
 /// Callers served at once; past that, the one that has said nothing for longest makes room. Each holds one descriptor.
-const AT_ONCE: usize = 32;
+pub const AT_ONCE: usize = 32;
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
 /// A call, as the operator writes it.
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -28,6 +28,11 @@
 /// How often a process that gives its clients back looks for connections that stand idle.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
 
+/// Descriptors for all else, at most: three standard streams, three of the event loop, two for signals, the listeners
+/// of clients, console and metrics, discovery, a call for the metrics, the fleet's socket, two files: 16, rounded up
+/// to 24; and the console's callers.
+const OWN_DESCRIPTORS: usize = 24 + cottonpoint_net::console::AT_ONCE;
+
 /// How often the file of endpoints out by hand is read again, for what a process beside this one wrote: well
 /// within the grace of a drain.
 const FOLLOW_EVERY: Duration = Duration::from_millis(200);
@@ -102,7 +107,7 @@
         connect_timeout: platform.connect_timeout,
         // Well before the other side closes it under a request.
         idle: platform.conn_idle.mul_f64(0.7),
-        connections: config.target_connections,
+        connections: bounds(&config).1,
         fields: platform.fields.clone(),
         field_names: platform.field_names.clone(),
     };
@@ -123,13 +128,8 @@
         random: fastrand::Rng::with_seed(config.seed),
     };
     executor.spawn(watcher.run(asked)).detach();
-    let clients = Clients::new(
-        sidecar.clone(),
-        servers.clone(),
-        platform,
-        executor.clone(),
-        config.client_connections,
-    );
+    let clients =
+        Clients::new(sidecar.clone(), servers.clone(), platform, executor.clone(), bounds(&config).0);
     let accept = executor.spawn(clients.clone().accept(Async::new(listener)?));
     let succession = config.state.as_deref().map(Succession::new);
     if succession.as_ref().is_some_and(Succession::beside_another) {
@@ -191,8 +191,9 @@
                     if place(&config) != place(&current) {
                         let _ = moves.try_send(place(&config));
                     }
-                    bounded.set_bound(config.client_connections);
-                    servers.set_bound(config.target_connections);
+                    let (clients, targets) = bounds(&config);
+                    bounded.set_bound(clients);
+                    servers.set_bound(targets);
                     tracing::info!("{}", current.change_to(*config));
                 }
                 Word::Reload(Err(fault)) => {
@@ -223,10 +224,17 @@
         clients.last_call();
         Timer::after(CLOSE_IDLE).await;
     }
-    while !stop.is_over(now(), clients.open()) {
-        clients.close_idle();
-        one_closed_or(&clients, Timer::after(LOOK_AGAIN)).await;
-    }
+    let nobody_is_left = async || {
+        while !stop.is_over(now(), clients.open()) {
+            clients.close_idle();
+            one_closed_or(&clients, Timer::after(LOOK_AGAIN)).await;
+        }
+    };
+    nobody_is_left().await;
+    // Who came in the very last moment stands in the listener's queue: closing it would reset what was sent.
+    clients.last_call();
+    accept.await;
+    nobody_is_left().await;
     // Who was told yes for an endpoint out by hand may count on it at the next start. A disk that hangs is waited
     // for until SIGKILL may come, and no longer.
     let killed = Timer::at(clock.instant(stop.killed_at()));
@@ -235,10 +243,24 @@
         tracing::warn!("the disk hangs: endpoints out by hand may not be kept for the next start");
     })
     .await;
-    drop((accept, heed));
+    drop(heed);
     Ok(())
 }
 
+/// Connections to clients and to targets at most. The system may give fewer descriptors than the settings name: both
+/// get less then, so that clients who fill their places leave discovery, console and endpoints theirs.
+fn bounds(config: &Config) -> (usize, usize) {
+    let (clients, targets) = (config.client_connections, config.target_connections);
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let files = limits.lines().find_map(|l| l.strip_prefix("Max open files")?.split_whitespace().next());
+    let Some(files) = files.and_then(|files| files.parse::<usize>().ok()) else {
+        return (clients, targets);
+    };
+    let left = files.saturating_sub(OWN_DESCRIPTORS).clamp(2, clients + targets);
+    let clients = (clients * left / (clients + targets)).max(1);
+    (clients, left - clients)
+}
+
 /// Where discovery is, by that configuration.
 fn place(config: &Config) -> Place {
     Place { address: config.discovery, pushed: config.platform.balancer.discovery == Discovery::Pushed }
--- a/crates/program/tests/sidecar/closing.rs
+++ b/crates/program/tests/sidecar/closing.rs
@@ -1,26 +1,9 @@
 //! The end of a connection, and bytes that come in that very moment.
 
 use crate::peers::*;
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-/// Waits until the sidecar has shut its side of a client's connection, as the system's table tells: its end may stand
-/// behind an answer that the client has not read. 4 is FIN_WAIT1: what it wrote has not all been acknowledged.
-fn shut_by_sidecar(client: &TcpStream) {
-    let port = |address: SocketAddr| format!("0100007F:{:04X}", address.port());
-    let ends = (port(client.peer_addr().unwrap()), port(client.local_addr().unwrap()));
-    let begun = Instant::now();
-    loop {
-        let table = std::fs::read_to_string("/proc/net/tcp").expect("Linux");
-        let mut states = table.lines().map(|l| l.split_whitespace().collect::<Vec<_>>());
-        match states.find(|s| s[1] == ends.0 && s[2] == ends.1) {
-            Some(socket) if socket[3] == "01" => std::thread::sleep(Duration::from_millis(1)),
-            _ => return,
-        }
-        assert!(begun.elapsed() < Duration::from_secs(10), "it is never shut");
-    }
-}
-
 /// A client that takes little at a time, so that a long answer stays with the sidecar's system until it reads.
 fn narrow_client(sidecar: &Running) -> TcpStream {
     use socket2::{Domain, Socket, Type};
@@ -38,18 +21,21 @@
     let known = list(1, true, &[line("t0", target.address, "active")]);
     for drained in [true, false] {
         let (sidecar, console) = Running::with_console(&config(discovery.address, &known, 1024), None);
-        let mut client = narrow_client(&sidecar);
+        let (mut client, mut rests) = (narrow_client(&sidecar), sidecar.client());
         send(&mut client, LOOK);
         let (mut came, long) = (target.accept(), "x".repeat(60_000));
         came.reply("200 OK", "", &long);
         // Something of the answer has come: the sidecar has written it, and the rest waits in the system.
         client.peek(&mut [0]).expect("an answer");
+        send(&mut rests, "GET /health/ready HTTP/1.1\nHost: n0\n\n");
+        assert!(message(&mut rests).starts_with("HTTP/1.1 200"));
         if drained {
             assert_eq!(call(console, "LEAVE"), "+OK\n")
         } else {
             sidecar.stop()
         }
-        shut_by_sidecar(&client);
+        // Connections are closed in the order in which they came to rest.
+        assert_eq!(message(&mut rests), "");
         send(&mut client, &LOOK.replace("c1", "crosses"));
         let answer = message(&mut client);
         assert!(answer.ends_with(&long), "drained {drained}: {} bytes of the answer", answer.len());
--- /dev/null
+++ b/crates/program/tests/sidecar/floods.rs
@@ -0,0 +1,84 @@
+//! Floods: clients that send much, half, nothing or too often, beside usual ones.
+
+use crate::peers::*;
+use crate::program::Program;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// Threads that each do the same again until the flood ends, and what one of them does.
+fn flood(
+    on: &Arc<AtomicBool>,
+    address: SocketAddr,
+    count: usize,
+    act: fn(TcpStream),
+) -> Vec<JoinHandle<()>> {
+    let one = |_| {
+        let on = on.clone();
+        thread::spawn(move || {
+            while on.load(Ordering::Relaxed) {
+                act(TcpStream::connect(address).expect("it listens"));
+            }
+        })
+    };
+    (0..count).map(one).collect()
+}
+
+/// A whole body of the longest, half as much again behind it, and gone; the target is never heard.
+fn sends_much_and_goes(mut client: TcpStream) {
+    let body = "x".repeat(64 << 10);
+    let id = format!("much{}", client.local_addr().expect("a socket").port());
+    let order = ORDER.replace("c2", &id).replace("Length: 5", "Length: 65536").replace("paper", &body);
+    let _ = client.write_all((order.replace('\n', "\r\n") + &body[..32 << 10]).as_bytes());
+}
+
+fn sends_half_and_waits(mut client: TcpStream) {
+    let _ = client.write_all(b"POST /order HTTP/1.1\r\nHost: n0\r\nContent-Length: 65536\r\nX-");
+    message(&mut client);
+}
+
+fn says_nothing(mut client: TcpStream) {
+    message(&mut client);
+}
+
+/// What nobody serves, again and again on the same connection.
+fn repeats_at_once(mut client: TcpStream) {
+    while client.write_all(b"GET /nosuch HTTP/1.1\r\nHost: n0\r\n\r\n").is_ok()
+        && !message(&mut client).is_empty()
+    {}
+}
+
+/// Guards against: memory and descriptors that grow with a flood, and usual clients that it shuts out. The bounds are
+/// the configuration's: 192 MB, over half of which is too much, and 256 descriptors.
+#[test]
+fn usual_clients_are_served_in_a_flood_and_it_holds_no_more_than_it_may() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let known = list(1, true, &[line("t0", target.address, "active")]);
+    let program = Program::start(&config(discovery.address, &known, 256), 256);
+    let _seen = target.echo();
+    let on = Arc::new(AtomicBool::new(true));
+    let flooders: Vec<_> = [sends_much_and_goes, sends_half_and_waits, says_nothing, repeats_at_once]
+        .into_iter()
+        .flat_map(|act: fn(TcpStream)| flood(&on, program.address, 40, act))
+        .collect();
+    let (mut served, mut refused, begun) = (0, 0, Instant::now());
+    while begun.elapsed() < Duration::from_secs(5) {
+        let mut client = TcpStream::connect(program.address).expect("it listens");
+        send(&mut client, &LOOK.replace("c1", &format!("usual{}", served + refused)));
+        let answer = message(&mut client);
+        match answer.lines().next() {
+            Some("HTTP/1.1 200 OK") => served += 1,
+            Some("HTTP/1.1 503 Service Unavailable") => refused += 1,
+            _ => panic!("after {served}: {answer}"),
+        }
+        assert!(program.descriptors() <= 256);
+    }
+    on.store(false, Ordering::Relaxed);
+    flooders.into_iter().for_each(|f| f.join().expect("the flood ends"));
+    // The target bears the flood's orders too, which may cost a client its turn now and then.
+    assert!(served >= 50 && refused * 20 <= served, "{served} served, {refused} refused");
+    assert!(program.peak_kb() < 96 << 10, "{} kB", program.peak_kb());
+}
--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -4,12 +4,15 @@
 mod clients;
 mod closing;
 mod console;
+mod descriptors;
 mod discovery;
 mod endpoints;
+mod floods;
 mod forwards;
 mod gone;
 mod life;
 mod list;
 mod peers;
 mod repeats;
+mod program;
 mod stop;
--- /dev/null
+++ b/crates/program/tests/sidecar/program.rs
@@ -0,0 +1,56 @@
+//! The built program as a process of its own, where a story is about the process: its descriptors, its memory.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+
+/// A process of the program. Dropped, it is killed.
+pub struct Program {
+    child: Child,
+    pub address: SocketAddr,
+    pub console: SocketAddr,
+}
+
+impl Program {
+    /// Starts one that may open so many descriptors, and waits until it says where it listens.
+    pub fn start(config: &str, descriptors: u32) -> Program {
+        let dir = tempfile::tempdir().expect("a directory");
+        let file = dir.path().join("config.json");
+        std::fs::write(&file, config.replacen('{', r#"{"console":"127.0.0.1:0","#, 1)).expect("a file");
+        let mut child = Command::new("sh")
+            .args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\" serve --config \"$1\"")])
+            .arg(env!("CARGO_BIN_EXE_cottonpoint"))
+            .arg(&file)
+            .env_remove("TMPDIR")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let mut log = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
+        let mut listens = log.by_ref().filter_map(|line| {
+            line.split_once("listen=").map(|(_, at)| at.parse::<SocketAddr>().expect("an address"))
+        });
+        let said = "it says where it listens";
+        let (console, address) = (listens.next().expect(said), listens.next().expect(said));
+        std::thread::spawn(move || log.for_each(drop));
+        Program { child, address, console }
+    }
+
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
+    }
+
+    /// The most memory that it ever held, in kB.
+    pub fn peak_kb(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")?.split_whitespace().next());
+        peak.expect("a figure").parse().expect("a number")
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/program/tests/sidecar/stop.rs
+++ b/crates/program/tests/sidecar/stop.rs
@@ -1,7 +1,10 @@
 //! After the word to stop: who is still served, who is turned away, and what is waited for at the end.
 
 use crate::peers::*;
+use cottonpoint::config::Config;
+use cottonpoint::serve::{self, Word};
 use cottonpoint::taken_out::OUT_FILE;
+use futures_lite::{StreamExt, stream};
 use insta::assert_snapshot;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -140,6 +143,43 @@
     assert!(unanswered.iter().all(|id| !seen.contains(id)), "{unanswered:?} were sent on");
 }
 
+/// Guards against: requests in the listener's queue reset with it, where a newer process takes all that comes.
+#[test]
+fn beside_a_newer_process_the_queue_is_served_and_the_listener_closed() {
+    let (target, discovery, (listener, address)) = (Peer::new(), Peer::new(), listen());
+    let known = list(1, true, &[line("t0", target.address, "active")]);
+    let state = tempfile::tempdir().expect("a directory");
+    let directory = state.path().display().to_string();
+    let config = Config::parse(&config(discovery.address, &known, 1024), |name| {
+        (name == "TMPDIR").then(|| directory.clone())
+    });
+    let _seen = target.echo();
+    // The stream of words holds the sidecar's one thread until it is let go: nothing is accepted meanwhile.
+    let ((holds, held), (let_go, told)) = (channel(), channel());
+    let hold = async move {
+        holds.send(()).expect("the story goes on");
+        told.recv().expect("the story goes on");
+        Word::Stop
+    };
+    let words = Box::pin(stream::once_future(hold).chain(stream::pending()));
+    let config = config.expect("good");
+    let sidecar = std::thread::spawn(move || serve::run(config, listener, None, words).expect("it serves"));
+    held.recv().expect("it is held");
+    let mut queued: Vec<_> = (0..20).map(|_| TcpStream::connect(address).expect("it listens")).collect();
+    for (i, client) in queued.iter_mut().enumerate() {
+        send(client, &LOOK.replace("c1", &format!("q{i}")));
+    }
+    std::fs::write(state.path().join(serve::Succession::FILE), "1").expect("a file");
+    let_go.send(()).expect("it is held");
+    for client in &mut queued {
+        assert!(message(client).starts_with("HTTP/1.1 200"));
+        assert_eq!(message(client), "", "in time it is sent to the newer one");
+    }
+    assert!(TcpStream::connect(address).is_err(), "it takes no more");
+    drop(queued);
+    sidecar.join().expect("it ends without a panic");
+}
+
 /// A sidecar whose disk hangs: what it writes of endpoints out by hand goes to a pipe at first, and stays there until
 /// somebody reads it. It has been told to take `t0` out and then `t1`, and to stop; yields its end.
 fn stopping_on_a_hung_disk(state: &Path) -> (PathBuf, Receiver<()>) {
