A resting connection is waited for, not passed by: new ones may come up late

Now the first to have rested is waited for, 20 ms at most. The tests that let connections rest first are as they were before.

--- a/crates/net/src/servers/mod.rs
+++ b/crates/net/src/servers/mod.rs
@@ -18,10 +18,10 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-/// An idle connection rests for this long before it is used again, or a new one is opened beside it: a target may send a
-/// second answer some milliseconds after the first (the standing check's page), and behind the next request's last byte
-/// nothing tells whose answer it is. What comes during the rest ends the connection.
-pub const REST: Duration = Duration::from_millis(25);
+/// An idle connection rests for this long before it is used again: a target may send a second answer some milliseconds
+/// after the first (the standing check's page), and behind the next request's last byte nothing tells whose answer it is.
+/// What comes during the rest ends the connection.
+const REST: Duration = Duration::from_millis(20);
 
 /// So many time-outs in a row make a target's idle connections suspect: one may be a slow request's.
 const SILENT: u32 = 2;
@@ -134,8 +134,13 @@
         }
     }
 
-    /// The most recently used idle connection to a target that has rested and is still open.
-    fn take(&self, target: Target) -> Option<Connection> {
+    /// The most recently used idle connection to a target that is still open. Where all of them rest, the first to have
+    /// rested is waited for: a new one costs the target more, and may come up late.
+    async fn take(&self, target: Target) -> Option<Connection> {
+        let resting = || self.idle.borrow().get(&target.id)?.iter().map(|idle| idle.rested_at).min();
+        if let Some(rested) = resting().filter(|&at| at > Instant::now()) {
+            Timer::at(rested).await;
+        }
         let now = Instant::now();
         loop {
             let idle = {
--- a/crates/net/src/servers/send.rs
+++ b/crates/net/src/servers/send.rs
@@ -98,7 +98,7 @@
     ) -> Ended {
         let target = forward.target;
         let failed = |outcome| (outcome, None, Served::default());
-        let (connection, way) = match self.take(target) {
+        let (connection, way) = match self.take(target).await {
             Some(connection) => (Ok(connection), Duration::ZERO),
             None if !waits() => return failed(Outcome::Moot),
             // What comes first on a new connection waits for its handshake, which may take as long as that.
--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -13,6 +13,6 @@
 mod life;
 mod list;
 mod peers;
-mod repeats;
 mod program;
+mod repeats;
 mod stop;
