A change is had 6 s after discovery has it, whatever calls failed before

Seen by reading: after a failed call on an asked list the watch left the next call to the balancer's pause (net/list/watch.rs, Next::WhenAsked), up to 7.5 s at ask_within 10 s (decide/policy/timers.rs, discovery_failed); the first call of a process, or the first after a SIGHUP in a pause (a new balancer), came after up to 0.3 ask_within, 18 s at 60 s; connection and answer had 1.1 s each; the call after a failed one waited up to 10 s for news, so that silence showed after 11.1 s only. Besides, a failure left the asks due from before in the balancer's timers, which came on top.

Now the watch bounds the balancer's word: calls on an asked list begin 1.6 to 2.4 s (drawn) after the failed one's beginning at the latest, 2.4 = (6 - 1.1 - 0.1) / 2, so that one call lost under way and one that fails after the return still leave 0.1 s. A call after a failed one does not wait and has one bound for connection and answer. The first call is drawn from 0 to 2.4 s at most. A failure drops the asks due from before. A watch answered early without news, over and over, was called as fast as it answered: the next call now comes 0.1 to 0.15 s after the first one's beginning.

--- a/crates/decide/src/policy/timers.rs
+++ b/crates/decide/src/policy/timers.rs
@@ -4,6 +4,8 @@
 
 /// Each endpoint in hand is probed this often, where reports need probes.
 const PROBE_EVERY: Duration = Duration::from_secs(3);
+/// Longest pause before discovery is asked first: the list is had within 6 s though one call fails.
+pub(super) const ASK_FIRST: Duration = Duration::from_millis(2400);
 /// First pause before discovery is asked again after a failure.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 
@@ -23,6 +25,8 @@
         let pause = (ASK_AGAIN * (1 << self.ask_failures.min(4))).min(ask_within / 2);
         self.ask_failures += 1;
         let pause = pause.mul_f64(0.5 + self.rng.f64());
+        // This pause alone counts: asks due from before would come on top, more with each failure.
+        self.timers.retain(|t| !matches!(t.0.1, Due::Ask | Due::AskUnlessAnswered));
         self.at(self.now + pause, Due::Ask);
     }
 
@@ -51,18 +55,14 @@
                     let pause = (PROBE_EVERY / count as u32).mul_f64(0.5 + self.rng.f64());
                     self.at(self.now + pause.max(Duration::from_millis(1)), Due::Probe);
                 }
-                Due::Ask => {
+                Due::AskUnlessAnswered if !self.awaiting => {}
+                Due::Ask | Due::AskUnlessAnswered => {
                     if let Discovery::OnRequest { ask_within } = self.set.discovery {
                         actions.push(Action::Subscribe);
                         self.awaiting = true;
                         self.at(self.now + ask_within, Due::AskUnlessAnswered);
                     }
                 }
-                Due::AskUnlessAnswered => {
-                    if self.awaiting {
-                        self.at(self.now, Due::Ask);
-                    }
-                }
             }
         }
     }
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -1,5 +1,5 @@
 //! The list: discovery, asked when the balancer asks (an agent's list: at once), then watched for as long as the
-//! watch holds. When each call is made and given up stands in `watch`.
+//! watch holds. When each call is made and given up stands in `watch`, which bounds the balancer's word too.
 
 mod watch;
 
@@ -16,7 +16,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use watch::{Ended, Next, PATIENCE, Watch};
 
 const LIST_LIMIT: usize = 4 << 20;
@@ -125,13 +125,20 @@
 
 /// What a call came to.
 enum Asked {
-    Told(ListKind, Vec<Listed>),
-    Failed(Failure),
+    /// It has ended, after that time.
+    Ended(Result<Told, Failure>, Duration),
     Moved(Place),
     /// Nobody is left to ask for.
     Over,
 }
 
+/// What discovery told, and whether early (see `watch`).
+struct Told {
+    kind: ListKind,
+    listed: Vec<Listed>,
+    early: bool,
+}
+
 /// Why a call came to nothing.
 struct Failure {
     ended: Ended,
@@ -177,16 +184,21 @@
                 match then {
                     Next::After(Duration::ZERO) => {}
                     Next::After(pause) => drop(Timer::after(pause).await),
-                    Next::WhenAsked if asked.recv().await.is_err() => return Asked::Over,
-                    Next::WhenAsked => {}
-                }
-                match self.ask(&watch, &mut connection).await {
-                    Ok((kind, listed)) => Asked::Told(kind, listed),
-                    Err(failure) => Asked::Failed(failure),
+                    Next::WhenAsked { within } => {
+                        let at_latest = async {
+                            Timer::after(within).await;
+                            Ok(())
+                        };
+                        if future::or(asked.recv(), at_latest).await.is_err() {
+                            return Asked::Over;
+                        }
+                    }
                 }
+                let begun = Instant::now();
+                Asked::Ended(self.ask(&watch, begun, &mut connection).await, begun.elapsed())
             };
             match future::or(async { Asked::Moved(next(&moved).await) }, call).await {
-                Asked::Told(kind, listed) => {
+                Asked::Ended(Ok(Told { kind, listed, early }), took) => {
                     if said.ends() {
                         tracing::info!("discovery answers again");
                     }
@@ -194,16 +206,16 @@
                     tracing::debug!(generation, lines, ?kind, "discovery told");
                     self.sidecar.listed(kind, &listed);
                     self.servers.keep_only(|target| self.sidecar.takes_work(target));
-                    then = watch.ended(Ended::Told, 0.0);
+                    then = watch.ended(Ended::Told { early }, took, self.random.f64());
                 }
-                Asked::Failed(Failure { ended, why }) => {
+                Asked::Ended(Err(Failure { ended, why }), took) => {
                     if said.fails(&why.to_string()) {
                         tracing::warn!(failure = %why, "discovery failed, the old list holds");
                     }
                     tracing::debug!(failure = %why, ?ended, "discovery failed");
                     while asked.try_recv().is_ok() {}
                     self.sidecar.list_failed();
-                    then = watch.ended(ended, self.random.f64());
+                    then = watch.ended(ended, took, self.random.f64());
                 }
                 Asked::Moved(place) => {
                     connection = None;
@@ -225,8 +237,9 @@
     async fn ask(
         &mut self,
         watch: &Watch,
+        begun: Instant,
         connection: &mut Option<Connection>,
-    ) -> Result<(ListKind, Vec<Listed>), Failure> {
+    ) -> Result<Told, Failure> {
         let hold = watch.hold(self.generation.is_none());
         let query = self.generation.map(|g| format!("?from={g}&hold_ms={}", hold.as_millis()));
         let (query, address) = (query.unwrap_or_default(), self.discovery.address);
@@ -252,7 +265,7 @@
             io::ErrorKind::TimedOut => Failure { ended: Ended::Silent { waits: !hold.is_zero() }, why },
             _ => why.into(),
         };
-        let answer = within(watch.answers_within(hold), exchange).await.map_err(silent)?;
+        let answer = within(watch.answers_within(hold, begun.elapsed()), exchange).await.map_err(silent)?;
         let (_, status, body, keep) = answer;
         if status != 200 {
             return Err(io::Error::other(format!("status {status}")).into());
@@ -267,11 +280,14 @@
         if answer.reset && listed.1.is_empty() && self.sidecar.has_targets() {
             return Err(io::Error::other("an empty list in place of one with targets").into());
         }
+        let (kind, listed) = listed;
+        let news = self.generation != Some(answer.generation) && (answer.reset || !listed.is_empty());
+        let early = !news && begun.elapsed() < hold;
         self.generation = Some(answer.generation);
         if keep && c.buffer.is_empty() {
             *connection = Some(c);
         }
-        Ok(listed)
+        Ok(Told { kind, listed, early })
     }
 }
 
