What a closing connection reads is thrown away on the heap, not held by each task from its start

Cause: the array of 4 KB in `close` (clients/close.rs) lives across an await, so it stood in the future of every connection from its first byte on. It is allocated when a connection ends.

--- a/crates/net/src/clients/close.rs
+++ b/crates/net/src/clients/close.rs
@@ -19,7 +19,8 @@
     let _ = stream.get_ref().shutdown(Shutdown::Write);
     let mut reader = stream;
     let drain = async {
-        let mut scratch = [0; SCRATCH];
+        // Not in the future itself: each connection would hold it from its first byte on.
+        let mut scratch = vec![0; SCRATCH];
         while reader.read(&mut scratch).await? > 0 {
             future::yield_now().await; // Who sends without end has no more of the thread than others.
         }
