Accepting outlives an error of the event loop; readiness is asked for in the flood's test

Seen by reading: the accept loop took a failed wait for the listener (`readable`, say for want of memory in the event loop) for the last call and ended for good. The flood's test asks for readiness on a connection of its own each time as well.

--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -126,7 +126,12 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock && last => return,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     let called = async { self.last_call.1.recv().await.is_ok() };
-                    let comes = async { listener.readable().await.is_err() };
+                    let comes = async {
+                        if listener.readable().await.is_err() {
+                            accept_again().await;
+                        }
+                        false
+                    };
                     last = future::or(comes, called).await;
                 }
                 Err(e) => {
--- a/crates/program/tests/sidecar/floods.rs
+++ b/crates/program/tests/sidecar/floods.rs
@@ -74,6 +74,9 @@
             Some("HTTP/1.1 503 Service Unavailable") => refused += 1,
             _ => panic!("after {served}: {answer}"),
         }
+        let mut asks = TcpStream::connect(program.address).expect("it listens");
+        send(&mut asks, "GET /health/ready HTTP/1.1\nHost: n0\n\n");
+        assert!(message(&mut asks).starts_with("HTTP/1.1 200"));
         assert!(program.descriptors() <= 256);
     }
     on.store(false, Ordering::Relaxed);
