--- a/crates/net/src/console.rs
+++ b/crates/net/src/console.rs
@@ -4,7 +4,7 @@
 
 use crate::clients::{LINGER, close};
 use crate::within;
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use cottonpoint_core::Executor;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
@@ -101,17 +101,21 @@
     answer: Rc<dyn Fn(Call) -> String>,
 ) -> io::Result<()> {
     let listener = Async::new(listener)?;
-    let callers = Rc::new(Callers::default());
+    let ended = async_channel::bounded(1);
+    let callers = Rc::new(Callers { served: Cell::default(), ended, silent: RefCell::default() });
     for number in 0.. {
         while callers.served.get() >= AT_ONCE {
             if let Some((_, let_go)) = callers.silent.borrow_mut().pop_first() {
                 let _ = let_go.try_send(());
             }
-            Timer::after(ACCEPT_AGAIN).await;
+            let ended = async {
+                let _ = callers.ended.1.recv().await;
+            };
+            future::or(ended, accept_again()).await;
         }
         // A listener's error, such as no descriptor left, is tried again a little later.
         let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(ACCEPT_AGAIN).await;
+            accept_again().await;
             continue;
         };
         callers.served.set(callers.served.get() + 1);
@@ -124,16 +128,22 @@
                 let owed = answered.unwrap_or(false);
                 close(&stream, if owed { LINGER } else { Duration::ZERO }).await;
                 callers.served.set(callers.served.get() - 1);
+                let _ = callers.ended.0.try_send(());
             })
             .detach();
     }
     Ok(())
 }
 
+async fn accept_again() {
+    Timer::after(ACCEPT_AGAIN).await;
+}
+
 /// Who is on the line.
-#[derive(Default)]
 struct Callers {
     served: Cell<usize>,
+    /// Told when one has ended.
+    ended: (Sender<()>, Receiver<()>),
     /// Those that have not sent their whole line, in the order in which they came, and how to let them go: the next
     /// one may not wait for their patience to end.
     silent: RefCell<BTreeMap<u64, Sender<()>>>,
