Tests of late connections and answers forced by events; the most recently used one is taken

Connections that rest are waited for to the last, so that the one used last is taken first as before; its test lets them rest. One Program for all stories of a process of its own.

--- a/crates/net/src/servers/mod.rs
+++ b/crates/net/src/servers/mod.rs
@@ -134,15 +134,20 @@
         }
     }
 
-    /// The most recently used idle connection to a target that is still open. Where all of them rest, the first to have
-    /// rested is waited for: a new one costs the target more, and may come up late.
+    /// The most recently used idle connection to a target that has rested and is still open. Where all of them rest, they
+    /// are waited for: a new one costs the target more, and may come up late.
     async fn take(&self, target: Target) -> Option<Connection> {
-        let resting = || self.idle.borrow().get(&target.id)?.iter().map(|idle| idle.rested_at).min();
-        if let Some(rested) = resting().filter(|&at| at > Instant::now()) {
+        let resting = || {
+            let pools = self.idle.borrow();
+            let pool = pools.get(&target.id)?;
+            let (first, last) = (pool.first()?.rested_at, pool.last()?.rested_at);
+            (first > Instant::now()).then_some(last)
+        };
+        if let Some(rested) = resting() {
             Timer::at(rested).await;
         }
-        let now = Instant::now();
         loop {
+            let now = Instant::now();
             let idle = {
                 let mut pools = self.idle.borrow_mut();
                 let pool = pools.get_mut(&target.id)?;
--- a/crates/program/tests/sidecar/forwards.rs
+++ b/crates/program/tests/sidecar/forwards.rs
@@ -149,7 +149,9 @@
         came.reply("200 OK", "", "ok");
         assert!(message(client).starts_with("HTTP/1.1 200"));
     }
-    // The most recently used ones are used first; two forwards time out, and the third connection goes.
+    // The most recently used ones are used first, once they have rested; two forwards time out, and the third
+    // connection goes.
+    std::thread::sleep(std::time::Duration::from_millis(25));
     for (i, client) in clients[..2].iter_mut().enumerate() {
         send(client, &look(i));
     }
--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -10,6 +10,7 @@
 mod floods;
 mod forwards;
 mod gone;
+mod late;
 mod life;
 mod list;
 mod peers;
--- a/crates/program/tests/sidecar/program.rs
+++ b/crates/program/tests/sidecar/program.rs
@@ -1,9 +1,19 @@
 //! The built program as a process of its own, where a story is about the process: its descriptors, its memory.
 
+use crate::peers::{message, send};
+use rustix::process::{Pid, Signal, WaitOptions, kill_process, waitpid};
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 
+/// A configuration under which attempts, and connections that do not come up, last until shortly before the time left
+/// of a request of `LOOK`'s kind is over.
+pub fn patient(config: &str) -> String {
+    config
+        .replace("aim_ns\":1000", "aim_ns\":2900")
+        .replace("timeout_ns\":500000000", "timeout_ns\":2900000000")
+}
+
 /// A process of the program. Dropped, it is killed.
 pub struct Program {
     child: Child,
@@ -35,6 +45,29 @@
         Program { child, address, console }
     }
 
+    /// Holds it still while something happens: what comes meanwhile comes to it in one turn.
+    pub fn meanwhile<T>(&self, happens: impl FnOnce() -> T) -> T {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, Signal::STOP).expect("a process");
+        waitpid(Some(pid), WaitOptions::UNTRACED).expect("it stands still");
+        let happened = happens();
+        kill_process(pid, Signal::CONT).expect("a process");
+        happened
+    }
+
+    /// A client that has sent a request.
+    pub fn client(&self, request: &str) -> TcpStream {
+        let mut client = TcpStream::connect(self.address).expect("it listens");
+        send(&mut client, request);
+        client
+    }
+
+    /// Once it has answered this, it has taken what came before.
+    pub fn has_taken(&self) {
+        let ready = "GET /health/ready HTTP/1.1\nHost: n0\n\n";
+        assert!(message(&mut self.client(ready)).starts_with("HTTP/1.1 "));
+    }
+
     /// Descriptors that it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
