Refuse settings that cannot hold, and name the file in every message

Seen: `check`, a start and SIGHUP took a keyed class with a window of zero, `tip_after_ns` and `ask_within_ns` of zero, worths and quotas below zero, NaN or infinite, a `cold_from` of 1.1, tenants' shares that add up to 0.9, two classes of one name (the second is never reached, a request is told its class by name), and no message named the file.

At fault: `settings/src/written.rs` read these keys as plain numbers with no range, `share` not at all; `program/src/config.rs` looked at no names, and `BadConfig` did not know its file.

Mend: numbers have their range in their type (`Amount`, `Fraction`, `AboveZero`), shares are added up, names are looked at where requests come with names (not in the simulator's lines, where they do not), and `Config::load` puts the file into the fault, so `check`, a start and the line at SIGHUP tell file, key and why.

Seen to fail without the mend: a_fault_is_named_by_its_key (an empty class name is taken) and a_fault_is_told_with_its_file_and_the_old_settings_hold (no file in the message). With it, 48 faults are refused by `check`, at a start and at SIGHUP, and the running sidecar serves on after each.

--- a/crates/program/src/config.rs
+++ b/crates/program/src/config.rs
@@ -3,9 +3,10 @@
 use cottonpoint_net::list::{Answer, Names};
 use cottonpoint_settings::{self as settings, BadSetting, Platform};
 use serde::Deserialize;
+use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Descriptors that are never given to connections: standard streams, the listener, discovery, signals and
 /// the event loop, and room to turn clients away.
@@ -14,22 +15,26 @@
 /// With fewer descriptors than this the program does not start.
 const SOCKETS_MIN: u64 = 96;
 
-/// What is wrong with the configuration: a key, and why.
+/// What is wrong with the configuration: the file, where it was read from one, the key, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BadConfig {
+    file: Option<PathBuf>,
     key: String,
     why: String,
 }
 
 impl fmt::Display for BadConfig {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "configuration: {}: {}", self.key, self.why)
+        match &self.file {
+            Some(file) => write!(f, "configuration {}: {}: {}", file.display(), self.key, self.why),
+            None => write!(f, "configuration: {}: {}", self.key, self.why),
+        }
     }
 }
 
 impl From<BadSetting> for BadConfig {
     fn from(BadSetting { key, why }: BadSetting) -> BadConfig {
-        BadConfig { key: if key.is_empty() { "(whole)".to_owned() } else { key }, why }
+        BadConfig { file: None, key: if key.is_empty() { "(whole)".to_owned() } else { key }, why }
     }
 }
 
@@ -37,6 +42,21 @@
     BadSetting::new(key, why).into()
 }
 
+/// Requests come with the names of class and tenant: one without a name, or with that of another, gets none.
+fn named(list: &str, names: &[String]) -> Result<(), BadConfig> {
+    let mut seen = HashMap::new();
+    for (i, name) in names.iter().enumerate() {
+        let key = || format!("settings.{list}.{i}.name");
+        if name.is_empty() {
+            return Err(bad(&key(), "must not be empty"));
+        }
+        if let Some(first) = seen.insert(name, i) {
+            return Err(bad(&key(), format!("is that of settings.{list}.{first} too: {name}")));
+        }
+    }
+    Ok(())
+}
+
 /// The file's keys; others are passed over.
 #[derive(Deserialize)]
 #[serde(expecting = "an object")]
@@ -104,15 +124,16 @@
     /// Where the console listens, if anywhere.
     pub console: Option<SocketAddr>,
     /// Where what outlives a process is kept (`$TMPDIR`), if anywhere.
-    pub state: Option<std::path::PathBuf>,
+    pub state: Option<PathBuf>,
 }
 
 impl Config {
     /// Reads the configuration from a file; `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY` stand in for
     /// what it does not say.
     pub fn load(path: &Path) -> Result<Config, BadConfig> {
-        let text = std::fs::read_to_string(path).map_err(|e| bad(&path.display().to_string(), e))?;
-        Config::parse(&text, |name| std::env::var(name).ok())
+        let text = std::fs::read_to_string(path).map_err(|e| bad("(whole)", e));
+        let config = text.and_then(|text| Config::parse(&text, |name| std::env::var(name).ok()));
+        config.map_err(|fault| BadConfig { file: Some(path.to_owned()), ..fault })
     }
 
     /// Reads the configuration from JSON text.
@@ -133,6 +154,8 @@
             file.settings.platform().map_err(|e| bad(&format!("settings.{}", e.key), e.why))?;
         // On the socket any refusal may carry advice, whatever the simulator's clients are given.
         platform.balancer.limits.max_retry_after = platform.max_retry_after;
+        named("lanes", &platform.classes)?;
+        named("orgs", &platform.tenants)?;
         let mut known = file.known;
         if let Some(known) = &mut known {
             known.reset = true;
@@ -146,7 +169,7 @@
             None => None,
             given => Some(address("console", given, "NODE_CONSOLE")?),
         };
-        let state = variable("TMPDIR").filter(|dir| !dir.is_empty()).map(std::path::PathBuf::from);
+        let state = variable("TMPDIR").filter(|dir| !dir.is_empty()).map(PathBuf::from);
         Ok(Config {
             console,
             state,
--- a/crates/program/tests/config.rs
+++ b/crates/program/tests/config.rs
@@ -7,37 +7,89 @@
 
 use cottonpoint::config::Config;
 use insta::assert_snapshot;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+
+/// What is changed in a good configuration, and to what.
+const FAULTS: &[(&str, &str)] = &[
+    ("{\"name\"", "\"name\""),
+    ("\"name\":\"n0\"", "\"name\":7"),
+    ("\"listen\":\"127.0.0.1:0\",", ""),
+    ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"localhost\""),
+    ("\"discovery\":\"127.0.0.1:8500\"", "\"discovery\":8500"),
+    ("\"seed\":\"2a\"", "\"seed\":\"z\""),
+    ("\"sockets\":1024", "\"sockets\":20"),
+    ("\"known\":null", "\"known\":{\"generation\":1}"),
+    ("\"known\":null", "\"known\":{\"generation\":1,\"instances\":[{\"instanceId\":7}]}"),
+    ("\"settings\":", "\"setting\":"),
+    ("\"me\":0,", ""),
+    ("\"semantics\":\"read_like\"", "\"semantics\":\"odd\""),
+    ("\"semantics\":\"read_like\"", "\"semantics\":null"),
+    // A patience of nothing would set the balancer's votes below zero.
+    ("\"give_up_ns\":3000000000", "\"give_up_ns\":0"),
+    ("\"max_attempts\":3", "\"max_attempts\":-3"),
+    ("\"quota_per_s\":1000.0", "\"quota_per_s\":\"many\""),
+    ("\"connect_timeout_ns\":500000000", "\"connect_timeout_ns\":[]"),
+    ("\"cold_from\":0.3", "\"cold_from\":{}"),
+    ("}}}", "}}}}"),
+    // Classes.
+    ("\"lanes\":[{\"name\"", "\"lanes\":[],\"no\":[{\"name\""),
+    ("\"name\":\"look\"", "\"name\":\"\""),
+    ("\"name\":\"order\"", "\"name\":\"look\""),
+    ("\"aim_ns\":1000000000", "\"aim_ns\":0"),
+    ("\"aim_ns\":1000000000", "\"aim_ns\":1000000000,\"aim_stretch\":-1"),
+    ("\"worth\":1.0", "\"worth\":-1"),
+    ("\"worth\":1.0", "\"worth\":\"inf\""),
+    ("\"worth\":1.0", "\"worth\":true"),
+    ("\"worth\":1.0", "\"worth\":1,\"late_worth\":1.5"),
+    ("\"idempotency_key\",\"group\":\"all\"", "\"idempotency_key\",\"group\":\"rack\""),
+    ("\"idempotency_key\",\"group\":\"all\",\"window_ns\":10000000000", WINDOW_OF_ZERO),
+    // Tenants and their shares.
+    ("\"orgs\":[{\"name\":\"north\"", "\"orgs\":[{\"name\":\"\""),
+    ("\"orgs\":[{", "\"orgs\":[{\"name\":\"north\",\"quota_per_s\":1},{"),
+    ("\"orgs\":[{", "\"orgs\":[{\"name\":\"south\",\"quota_per_s\":1,\"share\":0.5},{\"share\":0.6,"),
+    ("\"orgs\":[{", "\"orgs\":[{\"share\":0.9,"),
+    ("\"orgs\":[{", "\"orgs\":[{\"share\":\"nan\","),
+    ("\"orgs\":[{", "\"orgs\":7,\"no\":[{"),
+    ("\"quota_per_s\":1000.0", "\"quota_per_s\":-1"),
+    ("\"quota_per_s\":1000.0", "\"quota_per_s\":\"nan\""),
+    ("\"a_new_key\":[1]", "\"over_share_worth\":1.1"),
+    // The rest.
+    ("\"siblings\":1", "\"siblings\":0"),
+    ("\"my_zone\":0", "\"my_zone\":1"),
+    ("\"connect_timeout_ns\":500000000", "\"connect_timeout_ns\":0"),
+    ("\"ask_within_ns\":400000000", "\"ask_within_ns\":0"),
+    ("\"cold_from\":0.3", "\"cold_from\":1.1"),
+    ("\"fall_multiple\":3.0", "\"fall_multiple\":-3"),
+    ("\"tip_after_ns\":2000000000", "\"tip_after_ns\":0"),
+    ("\"warm_after_ns\":5000000000", "\"warm_after_ns\":-1"),
+    ("\"a_new_key\":[1]", "\"penalties\":{\"cross_zone\":-0.1}"),
+];
+
+const WINDOW_OF_ZERO: &str = "\"idempotency_key\",\"group\":\"all\",\"window_ns\":0";
+
+/// The good configuration that the faults are made in.
+fn good() -> String {
+    peers::config("127.0.0.1:8500".parse().unwrap(), "null", 1024)
+}
+
+fn faulty() -> impl Iterator<Item = (&'static str, String)> {
+    let good = good();
+    FAULTS.iter().map(move |(from, to)| {
+        assert!(good.contains(from), "{from}");
+        (*to, good.replacen(from, to, 1))
+    })
+}
 
 /// Guards against: a bad configuration that starts, or one whose message does not say where to look.
 #[test]
 fn a_fault_is_named_by_its_key() {
-    let discovery = "127.0.0.1:8500".parse().unwrap();
-    let good = peers::config(discovery, "null", 1024);
     let mut said = String::new();
-    for (from, to) in [
-        ("{\"name\"", "\"name\""),
-        ("\"name\":\"n0\"", "\"name\":7"),
-        ("\"listen\":\"127.0.0.1:0\",", ""),
-        ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"localhost\""),
-        ("\"discovery\":\"127.0.0.1:8500\"", "\"discovery\":8500"),
-        ("\"seed\":\"2a\"", "\"seed\":\"z\""),
-        ("\"sockets\":1024", "\"sockets\":20"),
-        ("\"known\":null", "\"known\":{\"generation\":1}"),
-        ("\"known\":null", "\"known\":{\"generation\":1,\"instances\":[{\"instanceId\":7}]}"),
-        ("\"settings\":", "\"setting\":"),
-        ("\"me\":0,", ""),
-        ("\"semantics\":\"read_like\"", "\"semantics\":\"odd\""),
-        ("\"semantics\":\"read_like\"", "\"semantics\":null"),
-        // A patience of nothing would set the balancer's votes below zero.
-        ("\"give_up_ns\":3000000000", "\"give_up_ns\":0"),
-        ("\"max_attempts\":3", "\"max_attempts\":-3"),
-        ("\"quota_per_s\":1000.0", "\"quota_per_s\":\"many\""),
-        ("\"connect_timeout_ns\":500000000", "\"connect_timeout_ns\":[]"),
-        ("\"cold_from\":0.3", "\"cold_from\":{}"),
-        ("}}}", "}}}}"),
-    ] {
-        assert!(good.contains(from), "{from}");
-        let fault = Config::parse(&good.replacen(from, to, 1), |_| None).expect_err(to).to_string();
+    for (what, text) in faulty() {
+        let fault = Config::parse(&text, |_| None).expect_err(what).to_string();
         assert_eq!(fault.lines().count(), 1);
         said += &format!("{fault}\n");
     }
@@ -61,9 +113,118 @@
     configuration: settings.limits.connect_timeout_ns: cannot be read: [] (line 9, column 88)
     configuration: settings.obligations.cold_from: cannot be read: {} (line 10, column 67)
     configuration: (whole): trailing characters at line 11 column 61
+    configuration: settings.lanes: must not be empty
+    configuration: settings.lanes.0.name: must not be empty
+    configuration: settings.lanes.1.name: is that of settings.lanes.0 too: look
+    configuration: settings.lanes.0.aim_ns: must be above 0 (line 6, column 26)
+    configuration: settings.lanes.0.aim_stretch: must be 0 or above, and finite (line 6, column 52)
+    configuration: settings.lanes.0.worth: must be 0 or above, and finite (line 6, column 70)
+    configuration: settings.lanes.0.worth: must be 0 or above, and finite (line 6, column 73)
+    configuration: settings.lanes.0.worth: cannot be read: true (line 6, column 72)
+    configuration: settings.lanes.0.late_worth: must lie between 0 and 1 (line 6, column 86)
+    configuration: settings.lanes.1.group: unknown variant `rack`, expected one of `all`, `zone`, `cell`
+    configuration: settings.lanes.1.window_ns: must be above 0
+    configuration: settings.orgs.0.name: must not be empty
+    configuration: settings.orgs.1.name: is that of settings.orgs.0 too: north
+    configuration: settings.orgs: the shares add up to 1.100, not 1
+    configuration: settings.orgs: the shares add up to 0.900, not 1
+    configuration: settings.orgs.0.share: must lie between 0 and 1 (line 7, column 114)
+    configuration: settings.orgs: invalid type: integer `7`, expected a sequence (line 7, column 100)
+    configuration: settings.orgs.0.quota_per_s: must be 0 or above, and finite (line 7, column 133)
+    configuration: settings.orgs.0.quota_per_s: must be 0 or above, and finite (line 7, column 136)
+    configuration: settings.over_share_worth: must lie between 0 and 1 (line 3, column 105)
+    configuration: settings.siblings: must be above 0 (line 3, column 43)
+    configuration: settings.my_zone: must be below 1, the number of azs
+    configuration: settings.limits.connect_timeout_ns: must be above 0 (line 9, column 87)
+    configuration: settings.obligations.ask_within_ns: must be above 0
+    configuration: settings.obligations.cold_from: must lie between 0 and 1 (line 10, column 68)
+    configuration: settings.obligations.fall_multiple: must be 0 or above, and finite (line 11, column 30)
+    configuration: settings.obligations.tip_after_ns: must be above 0
+    configuration: settings.obligations.warm_after_ns: cannot be read: -1 (line 10, column 87)
+    configuration: settings.penalties.cross_zone: must be 0 or above, and finite (line 3, column 114)
     "#);
 }
 
+/// A process of the program; it ends with its story, also where that fails.
+struct Serving(Child);
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Guards against: a fault that `check`, a start or SIGHUP takes or tells without file and key, and one at SIGHUP
+/// that changes what is served.
+#[test]
+fn a_fault_is_told_with_its_file_and_the_old_settings_hold() {
+    let dir = tempfile::tempdir().unwrap();
+    let (file, operator) = (dir.path().join("sidecar.json"), dir.path().join("operator.toml"));
+    // A line for each fault.
+    std::fs::write(&operator, "[log]\nform = \"json\"\nwarnings_per_minute = 1000\n").unwrap();
+    let program = |command: &str| {
+        let mut program = Command::new(env!("CARGO_BIN_EXE_cottonpoint"));
+        program.args([command, "--config"]).arg(&file).arg("--operator").arg(&operator);
+        program.stderr(Stdio::piped());
+        program
+    };
+    let (target, discovery) = (peers::Peer::new(), peers::Peer::new());
+    let known = peers::list(1, true, &[peers::line("t0", target.address, "active")]);
+    std::fs::write(&file, peers::config(discovery.address, &known, 1024)).unwrap();
+    let seen = target.echo();
+    let mut sidecar = Serving(program("serve").spawn().unwrap());
+    let log = BufReader::new(sidecar.0.stderr.take().unwrap()).lines();
+    let mut log = log.map(|line| serde_json::from_str::<Value>(&line.unwrap()).unwrap());
+    let mut told = |message: &str| log.find(|line| line["message"] == message).expect("it says so");
+    let address: SocketAddr = told("serves")["listen"].as_str().unwrap().parse().unwrap();
+    let mut client = TcpStream::connect(address).unwrap();
+    for (what, text) in faulty() {
+        let fault = Config::parse(&text, |_| None).expect_err(what).to_string();
+        let fault = fault.replacen("configuration", &format!("configuration {}", file.display()), 1);
+        std::fs::write(&file, text).unwrap();
+        for command in ["check", "serve"] {
+            let refused = program(command).output().unwrap();
+            assert!(!refused.status.success(), "{command} takes {what}");
+            assert_eq!(String::from_utf8_lossy(&refused.stderr), format!("cottonpoint: {fault}\n"));
+        }
+        kill_process(Pid::from_child(&sidecar.0), Signal::HUP).unwrap();
+        assert_eq!(told("the old configuration holds")["fault"], fault.as_str());
+        peers::send(&mut client, peers::LOOK);
+        assert!(peers::message(&mut client).starts_with("HTTP/1.1 200"), "{what}");
+        assert!(seen.recv().unwrap().starts_with("GET /look"), "{what}");
+    }
+    kill_process(Pid::from_child(&sidecar.0), Signal::TERM).unwrap();
+    assert!(sidecar.0.wait().unwrap().success());
+}
+
+/// Guards against: settings refused that a deployment may have: no tenants, shares rounded or left out, a quota
+/// or a worth of nothing, endpoints that start warm or never fall, an index beyond a count that has grown old.
+#[test]
+fn what_a_deployment_may_have_starts() {
+    for (from, to) in [
+        ("\"orgs\":[{", "\"orgs\":[],\"no\":[{"),
+        ("\"orgs\":[{", "\"no\":[{"),
+        ("\"orgs\":[{", "\"orgs\":[{\"name\":\"south\",\"quota_per_s\":1,\"share\":0.33},{\"share\":0.66,"),
+        ("\"orgs\":[{", "\"orgs\":[{\"name\":\"south\",\"quota_per_s\":1,\"share\":0.5},{"),
+        ("\"quota_per_s\":1000.0", "\"quota_per_s\":0"),
+        ("\"worth\":1.0", "\"worth\":0"),
+        ("\"give_up_ns\":3000000000", "\"give_up_ns\":900000000"),
+        ("\"read_like\",\"group\":\"all\",\"window_ns\":10000000000", "\"read_like\",\"window_ns\":0"),
+        ("\"cold_from\":0.3", "\"cold_from\":0"),
+        ("\"cold_from\":0.3", "\"cold_from\":1"),
+        ("\"warm_after_ns\":5000000000", "\"warm_after_ns\":0"),
+        ("\"fall_multiple\":3.0,\"tip_after_ns\":2000000000", "\"fall_multiple\":0,\"tip_after_ns\":0"),
+        ("\"me\":0", "\"me\":7"),
+        ("\"azs\":[\"a\"]", "\"azs\":[]"),
+        ("\"max_retry_after_ns\":2000000000", "\"max_retry_after_ns\":0,\"conn_idle_ns\":0"),
+    ] {
+        let (good, text) = (good(), good().replacen(from, to, 1));
+        assert_ne!(good, text, "{from}");
+        assert!(Config::parse(&text, |_| None).is_ok(), "{to}");
+    }
+}
+
 /// Guards against: a default or a stand-in that is not the stated one.
 #[test]
 fn what_it_does_not_say_has_a_default() {
--- a/crates/settings/src/plain.rs
+++ b/crates/settings/src/plain.rs
@@ -48,6 +48,32 @@
     }
 }
 
+/// A number that is counted in: 0 or above, and finite.
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(try_from = "Plain<f64>")]
+pub(crate) struct Amount(pub f64);
+
+impl TryFrom<Plain<f64>> for Amount {
+    type Error = &'static str;
+
+    fn try_from(Plain(n): Plain<f64>) -> Result<Self, Self::Error> {
+        if n.is_finite() && n >= 0.0 { Ok(Amount(n)) } else { Err("must be 0 or above, and finite") }
+    }
+}
+
+/// A part of a whole.
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(try_from = "Plain<f64>")]
+pub(crate) struct Fraction(pub f64);
+
+impl TryFrom<Plain<f64>> for Fraction {
+    type Error = &'static str;
+
+    fn try_from(Plain(n): Plain<f64>) -> Result<Self, Self::Error> {
+        if (0.0..=1.0).contains(&n) { Ok(Fraction(n)) } else { Err("must lie between 0 and 1") }
+    }
+}
+
 /// A list of words, which the simulator's lines join with commas.
 #[derive(Default, Deserialize)]
 #[serde(try_from = "Value")]
--- a/crates/settings/src/written.rs
+++ b/crates/settings/src/written.rs
@@ -1,7 +1,7 @@
 //! The settings as they are written, by serde derive: keys that nobody reads are passed over.
 
 use crate::fault::{BadSetting, read};
-use crate::plain::{AboveZero, Plain, Word, Words};
+use crate::plain::{AboveZero, Amount, Fraction, Plain, Word, Words};
 use crate::{Platform, ReportFields, Result};
 use cottonpoint_decide as decide;
 use cottonpoint_decide::{Class, Effect, Scope, Settings, Tenant, ZoneId};
@@ -14,6 +14,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long a connection may stand idle, where the settings do not say.
 const CONN_IDLE: Duration = Duration::from_secs(30);
+/// How far the tenants' shares together may be off the whole, for each of them: shares may be written rounded
+/// to hundredths.
+const SHARE_ROUNDED: f64 = 0.005;
 
 type Nanos = Plain<u64>;
 
@@ -21,6 +24,10 @@
     Duration::from_nanos(n)
 }
 
+fn above_zero(AboveZero(n): AboveZero<u64>) -> Duration {
+    Duration::from_nanos(n)
+}
+
 fn or<T>(value: Option<Plain<T>>, default: T) -> T {
     value.map_or(default, |Plain(value)| value)
 }
@@ -30,14 +37,14 @@
 #[serde(expecting = "an object")]
 pub struct Written {
     me: Plain<u32>,
-    siblings: Plain<u32>,
+    siblings: AboveZero<u32>,
     my_zone: Plain<u16>,
     tier: Option<Plain<i32>>,
     discovery: Word<Discovery>,
     telemetry: Telemetry,
     lanes: Vec<Lane>,
     orgs: Option<Vec<Org>>,
-    over_share_worth: Option<Plain<f64>>,
+    over_share_worth: Option<Fraction>,
     limits: Limits,
     obligations: Obligations,
     penalties: Option<Penalties>,
@@ -78,10 +85,10 @@
     group: Option<Value>,
     window_ns: Option<Value>,
     aim_ns: AboveZero<u64>,
-    aim_stretch: Option<Plain<f64>>,
+    aim_stretch: Option<Amount>,
     give_up_ns: AboveZero<u64>,
-    worth: Plain<f64>,
-    late_worth: Option<Plain<f64>>,
+    worth: Amount,
+    late_worth: Option<Fraction>,
     name: Option<Plain<String>>,
 }
 
@@ -105,7 +112,9 @@
 #[serde(expecting = "an object")]
 struct Org {
     name: Option<Plain<String>>,
-    quota_per_s: Plain<f64>,
+    quota_per_s: Amount,
+    /// Read for its sum only.
+    share: Option<Fraction>,
 }
 
 #[derive(Deserialize)]
@@ -117,7 +126,7 @@
     probes: Plain<bool>,
     retry_after: Option<Plain<bool>>,
     max_retry_after_ns: Option<Nanos>,
-    connect_timeout_ns: Option<Nanos>,
+    connect_timeout_ns: Option<AboveZero<u64>>,
     conn_idle_ns: Option<Nanos>,
 }
 
@@ -126,16 +135,16 @@
 struct Obligations {
     /// Read where discovery answers on request only.
     ask_within_ns: Option<Value>,
-    cold_from: Plain<f64>,
+    cold_from: Fraction,
     warm_after_ns: Nanos,
-    fall_multiple: Plain<f64>,
+    fall_multiple: Amount,
     tip_after_ns: Nanos,
 }
 
 #[derive(Deserialize)]
 #[serde(expecting = "an object")]
 struct Penalties {
-    cross_zone: Option<Plain<f64>>,
+    cross_zone: Option<Amount>,
 }
 
 /// Reads what only some settings ask for; where none do, it may hold anything.
@@ -154,6 +163,17 @@
     Err(BadSetting::new(key, format!("has more than {} items: {}", u16::MAX, list.len())))
 }
 
+/// The tenants' shares, where all have one, are the whole together.
+fn add_up(orgs: &[Org]) -> Result<()> {
+    let shares: Option<Vec<f64>> = orgs.iter().map(|org| org.share.map(|Fraction(share)| share)).collect();
+    let Some(shares) = shares.filter(|shares| !shares.is_empty()) else { return Ok(()) };
+    let (sum, off) = (shares.iter().sum::<f64>(), SHARE_ROUNDED * shares.len() as f64 + 1e-9);
+    if (sum - 1.0).abs() <= off {
+        return Ok(());
+    }
+    Err(BadSetting::new("orgs", format!("the shares add up to {sum:.3}, not 1")))
+}
+
 impl Lane {
     fn class(self, i: usize) -> Result<(Class, String)> {
         let key = |field: &str| format!("lanes.{i}.{field}");
@@ -165,16 +185,16 @@
                     Group::Zone => Scope::Zone,
                     Group::Cell => Scope::Cell,
                 },
-                window: nanos(asked(self.window_ns, || key("window_ns"))?),
+                window: above_zero(asked(self.window_ns, || key("window_ns"))?),
             },
             Semantics::NonIdempotent => Effect::Unsafe,
         };
         let class = Class {
-            aim: Duration::from_nanos(self.aim_ns.0),
-            aim_stretch: or(self.aim_stretch, 0.0),
-            give_up: Duration::from_nanos(self.give_up_ns.0),
+            aim: above_zero(self.aim_ns),
+            aim_stretch: self.aim_stretch.unwrap_or_default().0,
+            give_up: above_zero(self.give_up_ns),
             worth: self.worth.0,
-            late_worth: or(self.late_worth, 0.0),
+            late_worth: self.late_worth.unwrap_or_default().0,
             effect,
         };
         Ok((class, or(self.name, String::new())))
@@ -190,6 +210,17 @@
         if self.lanes.is_empty() {
             return Err(BadSetting::new("lanes", "must not be empty"));
         }
+        add_up(&orgs)?;
+        if !self.azs.0.is_empty() && usize::from(self.my_zone.0) >= self.azs.0.len() {
+            return Err(BadSetting::new(
+                "my_zone",
+                format!("must be below {}, the number of azs", self.azs.0.len()),
+            ));
+        }
+        // Without a multiple no endpoint falls, and there is no window to count in.
+        if self.obligations.fall_multiple.0 > 0.0 && self.obligations.tip_after_ns.0 == 0 {
+            return Err(BadSetting::new("obligations.tip_after_ns", "must be above 0"));
+        }
         let lanes = self.lanes.into_iter().enumerate();
         let lanes: Vec<_> = lanes.map(|(i, lane)| lane.class(i)).collect::<Result<_>>()?;
         let (classes, class_names) = lanes.into_iter().unzip();
@@ -201,7 +232,7 @@
         let discovery = match self.discovery.0 {
             Discovery::Pushed => decide::Discovery::Pushed,
             Discovery::OnRequest => decide::Discovery::OnRequest {
-                ask_within: nanos(asked(ask_within, || "obligations.ask_within_ns".into())?),
+                ask_within: above_zero(asked(ask_within, || "obligations.ask_within_ns".into())?),
             },
         };
         let reporting = match self.telemetry.how.0 {
@@ -222,7 +253,7 @@
             from_clients: or(self.tier, 0) == 0,
             classes,
             tenants,
-            over_quota_worth: or(self.over_share_worth, 1.0),
+            over_quota_worth: self.over_share_worth.map_or(1.0, |Fraction(worth)| worth),
             discovery,
             reporting,
             limits: decide::Limits {
@@ -238,7 +269,7 @@
                 fall_multiple: self.obligations.fall_multiple.0,
                 fall_after: nanos(self.obligations.tip_after_ns),
             },
-            cross_zone_price: or(self.penalties.and_then(|p| p.cross_zone), 0.0),
+            cross_zone_price: self.penalties.and_then(|p| p.cross_zone).unwrap_or_default().0,
         };
         let field_names = self.telemetry.fields.0;
         let at = |name: &str| field_names.iter().position(|n| n == name);
@@ -250,7 +281,7 @@
             tenants: tenant_names,
             zones: self.azs.0,
             kinds: self.shapes.0,
-            connect_timeout: limits.connect_timeout_ns.map_or(CONNECT_TIMEOUT, nanos),
+            connect_timeout: limits.connect_timeout_ns.map_or(CONNECT_TIMEOUT, above_zero),
             conn_idle: limits.conn_idle_ns.map_or(CONN_IDLE, nanos),
             max_retry_after,
         })
