Terms of connections hold from a reload on; bad requests are counted; the console has its descriptors

Seen by reading: `Servers` kept the connect time-out, the idle time and the fields of load reports of its start, though the log said "new settings" at SIGHUP; requests that cannot be read or served were neither counted nor logged; the console's 32 callers stood in no sum of descriptors (config.rs, RESERVE 24), so that a full sidecar might hold 32 more than its limit; the balancer's words to ask discovery could pile up while a watch was open (core/lib.rs, an unbounded channel).

Mend: serve.rs gives the pool its terms anew at a reload; each answer of 400 to 499 is counted (cottonpoint_bad_requests_total) and logged, within the bound of warnings a minute; the console's callers are taken off the share of connections where there is a console; one word to ask is held.

--- a/crates/core/src/counts.rs
+++ b/crates/core/src/counts.rs
@@ -46,6 +46,7 @@
     list_failures: Cell<u64>,
     classes: RefCell<BTreeMap<String, ClassCounts>>,
     configurations: [Cell<u64>; 2],
+    bad_requests: Cell<u64>,
 }
 
 fn more(count: &Cell<u64>) {
@@ -99,6 +100,16 @@
         self.of_class(class, |c| c.relayed += 1);
     }
 
+    /// A request came that cannot be read, or cannot be served as it is.
+    pub fn bad_request(&self) {
+        more(&self.bad_requests);
+    }
+
+    /// Requests that could not be read, or not be served as they were.
+    pub fn bad_requests(&self) -> u64 {
+        self.bad_requests.get()
+    }
+
     /// A configuration was read at a reload: taken, or turned down.
     pub fn configuration(&self, accepted: bool) {
         more(&self.configurations[usize::from(!accepted)]);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -76,7 +76,8 @@
         clock: Clock,
         executor: Executor,
     ) -> (Rc<Self>, Receiver<()>) {
-        let (subscribe, subscriptions) = async_channel::unbounded();
+        // One word says as much as many.
+        let (subscribe, subscriptions) = async_channel::bounded(1);
         let core = Core {
             balancers: VecDeque::from([(0, Balancer::new(settings, seed, clock.now()))]),
             pending: None,
--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -253,6 +253,10 @@
                 Err(fault) => (take_in::unreadable(&fault), false),
             };
             let Some(reply) = reply else { break };
+            if (400..500).contains(&reply.status) {
+                self.sidecar.counts().bad_request();
+                tracing::warn!(status = reply.status, "a request that cannot be read or served");
+            }
             // Who sends what cannot be served starts anew; and nobody gets ahead by asking without a pause.
             let keep = keep && !reply.is_last() && !self.leaving();
             let (mut writer, bytes) = (stream, reply.bytes(keep));
--- a/crates/net/src/servers/mod.rs
+++ b/crates/net/src/servers/mod.rs
@@ -68,13 +68,12 @@
 
 /// The connections to all targets.
 pub struct Servers {
-    terms: Terms,
+    terms: RefCell<Terms>,
     executor: Executor,
     idle: RefCell<HashMap<EndpointId, Vec<Idle>>>,
     /// Forwards in a row that a target let time out without a word.
     silent: RefCell<HashMap<EndpointId, u32>>,
     next: Cell<u64>,
-    connections: Cell<usize>,
     open: Rc<Cell<usize>>,
     this: Weak<Servers>,
 }
@@ -83,8 +82,7 @@
     /// A pool without connections.
     pub fn new(terms: Terms, executor: Executor) -> Rc<Servers> {
         Rc::new_cyclic(|this| Servers {
-            connections: Cell::new(terms.connections),
-            terms,
+            terms: terms.into(),
             executor,
             idle: RefCell::default(),
             silent: RefCell::default(),
@@ -94,9 +92,9 @@
         })
     }
 
-    /// From now on so many connections are held at most.
-    pub fn set_bound(&self, connections: usize) {
-        self.connections.set(connections);
+    /// These hold from now on.
+    pub fn set_terms(&self, terms: Terms) {
+        self.terms.replace(terms);
     }
 
     /// Connections that are open, in use and idle.
@@ -104,9 +102,13 @@
         self.open.get()
     }
 
+    fn connect_timeout(&self) -> Duration {
+        self.terms.borrow().connect_timeout
+    }
+
     /// Connections held at most.
     pub fn bound(&self) -> usize {
-        self.connections.get()
+        self.terms.borrow().connections
     }
 
     /// Closes the idle connections to targets that are not wanted any more.
@@ -161,7 +163,7 @@
     }
 
     async fn connect(&self, target: Target) -> io::Result<Connection> {
-        while self.open.get() >= self.connections.get() {
+        while self.open.get() >= self.bound() {
             if !self.close_oldest() {
                 return Err(io::Error::other("no connection to spare"));
             }
@@ -169,7 +171,7 @@
         self.open.set(self.open.get() + 1);
         let place = Place(self.open.clone());
         let connect = Async::<TcpStream>::connect(target.address);
-        let stream = super::within(self.terms.connect_timeout, connect).await?;
+        let stream = super::within(self.connect_timeout(), connect).await?;
         stream.get_ref().set_nodelay(true)?;
         let (stream, buffer) = (Rc::new(stream), Buffer::default());
         Ok(Connection { stream, buffer, address: target.address, _place: place })
@@ -189,7 +191,7 @@
     fn put(&self, target: EndpointId, connection: Connection) {
         let number = self.next.get();
         self.next.set(number + 1);
-        let (this, stream, idle) = (self.this.clone(), connection.stream.clone(), self.terms.idle);
+        let (this, stream, idle) = (self.this.clone(), connection.stream.clone(), self.terms.borrow().idle);
         let watch = self.executor.spawn(async move {
             let closed = async {
                 let _ = stream.readable().await;
--- a/crates/net/src/servers/send.rs
+++ b/crates/net/src/servers/send.rs
@@ -102,7 +102,7 @@
             Some(connection) => (Ok(connection), Duration::ZERO),
             None if !waits() => return failed(Outcome::Moot),
             // What comes first on a new connection waits for its handshake, which may take as long as that.
-            None => (self.connect(target).await, self.terms.connect_timeout),
+            None => (self.connect(target).await, self.connect_timeout()),
         };
         let Ok(mut connection) = connection else { return failed(Outcome::ConnectFailed) };
         let bytes = serialize(message, until);
@@ -143,15 +143,16 @@
     /// The load report of an answer; one that cannot be read, in whatever part, is none.
     fn report(&self, head: &Head) -> Option<LoadReport> {
         let text = head.only("x-backend-load").ok()??;
-        let mut values = vec![None; self.terms.field_names.len()];
+        let terms = self.terms.borrow();
+        let mut values = vec![None; terms.field_names.len()];
         for pair in text.split(',') {
             let (name, value) = pair.split_once('=')?;
             let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0)?;
-            if let Some(i) = self.terms.field_names.iter().position(|n| n == name.trim()) {
+            if let Some(i) = terms.field_names.iter().position(|n| n == name.trim()) {
                 values[i] = Some(value);
             }
         }
-        Some(self.terms.fields.report(|i| *values.get(i)?))
+        Some(terms.fields.report(|i| *values.get(i)?))
     }
 }
 
--- a/crates/program/src/config.rs
+++ b/crates/program/src/config.rs
@@ -164,11 +164,12 @@
         }
         // A flow holds a connection on either side; clients keep some more, and as many again come with no
         // flow at all.
-        let spare = usize::try_from(sockets).unwrap_or(usize::MAX).min(1 << 16) - RESERVE;
         let console = match file.console.or_else(|| variable("NODE_CONSOLE")) {
             None => None,
             given => Some(address("console", given, "NODE_CONSOLE")?),
         };
+        let callers = console.map_or(0, |_| cottonpoint_net::console::AT_ONCE);
+        let spare = usize::try_from(sockets).unwrap_or(usize::MAX).min(1 << 16) - RESERVE - callers;
         let state = variable("TMPDIR").filter(|dir| !dir.is_empty()).map(PathBuf::from);
         Ok(Config {
             console,
--- a/crates/program/src/metrics.rs
+++ b/crates/program/src/metrics.rs
@@ -54,6 +54,13 @@
         let admitted: Counter = Counter::default();
         admitted.inc_by(counts.admitted());
         registry.register("flows_admitted", "Flows handed to the balancer", admitted);
+        let bad: Counter = Counter::default();
+        bad.inc_by(counts.bad_requests());
+        registry.register(
+            "bad_requests",
+            "Requests that could not be read, or not be served as they were",
+            bad,
+        );
         let family = |of: &mut dyn Iterator<Item = (&'static str, u64)>| {
             let family = Family::<Label, Counter>::default();
             for (result, n) in of {
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -103,15 +103,7 @@
     let names = Names { zones: platform.zones.clone(), kinds: platform.kinds.clone() };
     let clock = Clock::start();
     let (sidecar, asked) = Sidecar::new(platform.balancer.clone(), config.seed, clock, executor.clone());
-    let terms = Terms {
-        connect_timeout: platform.connect_timeout,
-        // Well before the other side closes it under a request.
-        idle: platform.conn_idle.mul_f64(0.7),
-        connections: bounds(&config).1,
-        fields: platform.fields.clone(),
-        field_names: platform.field_names.clone(),
-    };
-    let servers = Servers::new(terms, executor.clone());
+    let servers = Servers::new(terms(&config), executor.clone());
     // The balancer comes to life with its first event: it is told of an empty list too.
     let known = config.known.as_ref().and_then(|k| k.listed(&names).ok());
     let (kind, listed) = known.unwrap_or((ListKind::Full, Vec::new()));
@@ -191,9 +183,8 @@
                     if place(&config) != place(&current) {
                         let _ = moves.try_send(place(&config));
                     }
-                    let (clients, targets) = bounds(&config);
-                    bounded.set_bound(clients);
-                    servers.set_bound(targets);
+                    bounded.set_bound(bounds(&config).0);
+                    servers.set_terms(terms(&config));
                     tracing::info!("{}", current.change_to(*config));
                 }
                 Word::Reload(Err(fault)) => {
@@ -247,6 +238,19 @@
     Ok(())
 }
 
+/// What the pool of connections to targets goes by.
+fn terms(config: &Config) -> Terms {
+    let platform = &config.platform;
+    Terms {
+        connect_timeout: platform.connect_timeout,
+        // Well before the other side closes it under a request.
+        idle: platform.conn_idle.mul_f64(0.7),
+        connections: bounds(config).1,
+        fields: platform.fields.clone(),
+        field_names: platform.field_names.clone(),
+    }
+}
+
 /// Connections to clients and to targets at most. The system may give fewer descriptors than the settings name: both
 /// get less then, so that clients who fill their places leave discovery, console and endpoints theirs.
 fn bounds(config: &Config) -> (usize, usize) {
--- a/crates/program/tests/operator.rs
+++ b/crates/program/tests/operator.rs
@@ -114,7 +114,10 @@
     let mut came = target.accept();
     came.reply("200 OK", "", "seen");
     assert!(message(&mut client).ends_with("seen"));
-    let page = ask(metrics, "GET /metrics HTTP/1.1\nHost: n0\n\n");
+    assert!(ask(address, "noise\n\n").starts_with("HTTP/1.1 400"));
+    // The bad one's connection goes once its close is seen.
+    let page = std::iter::repeat_with(|| ask(metrics, "GET /metrics HTTP/1.1\nHost: n0\n\n"));
+    let page = { page }.find(|page| page.contains("client_connections 1\n")).expect("at last");
     let mut counted: Vec<&str> = page.lines().filter(|l| l.starts_with("cottonpoint_")).collect();
     counted.sort_unstable();
     assert_snapshot!(counted.join("\n"));
--- a/crates/program/tests/sidecar/console.rs
+++ b/crates/program/tests/sidecar/console.rs
@@ -168,3 +168,24 @@
     assert_eq!(figures(console)["operations"]["frame"]["fulfilled"], 1);
     sidecar.ends();
 }
+
+/// Guards against: the terms of connections to endpoints given at SIGHUP that wait for the next start (an idle one closed
+/// by the endpoint under a request).
+#[test]
+fn terms_of_connections_given_at_a_reload_hold_from_then_on() {
+    let (target, discovery) = (Peer::new(), Peer::new());
+    let known = list(1, true, &[line("t0", target.address, "active")]);
+    let config = config(discovery.address, &known, 1024);
+    let (sidecar, console) = Running::with_console(&config, None);
+    sidecar.reload(
+        &config.replace("\"connect_timeout_ns\"", "\"conn_idle_ns\":100000000,\"connect_timeout_ns\""),
+    );
+    while figures(console)["cfg_accepted"] != 1 {}
+    let mut client = sidecar.client();
+    send(&mut client, LOOK);
+    let mut came = target.accept();
+    came.reply("200 OK", "", "ok");
+    assert!(message(&mut client).ends_with("ok"));
+    assert_eq!(came.next(), "", "closed before the endpoint closes it");
+    sidecar.ends();
+}
