The balancer's first ask of discovery is as it was; the watch alone bounds and spreads it

Held on sockets by the watch already (net/list/watch.rs, WhenAsked within 2.4 s), so the cap is taken out of the module; the watch's first bound is drawn between 1.6 and 2.4 s, or all that draw more in the module would call in one moment.

--- a/crates/decide/src/policy/mod.rs
+++ b/crates/decide/src/policy/mod.rs
@@ -98,7 +98,7 @@
             set: settings,
         };
         if let Discovery::OnRequest { ask_within } = balancer.set.discovery {
-            let wait = ask_within.mul_f64(0.3).min(ASK_FIRST).mul_f64(balancer.rng.f64());
+            let wait = ask_within.mul_f64(0.3 * balancer.rng.f64());
             balancer.at(now + wait, Due::Ask);
         }
         if balancer.probes() {
--- a/crates/decide/src/policy/timers.rs
+++ b/crates/decide/src/policy/timers.rs
@@ -4,8 +4,6 @@
 
 /// Each endpoint in hand is probed this often, where reports need probes.
 const PROBE_EVERY: Duration = Duration::from_secs(3);
-/// Longest pause before discovery is asked first: the list is had within 6 s though one call fails.
-pub(super) const ASK_FIRST: Duration = Duration::from_millis(2400);
 /// First pause before discovery is asked again after a failure.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -178,6 +178,10 @@
     pub async fn run(mut self, asked: Receiver<()>) {
         let (mut said, mut connection) = (Said::default(), None);
         let (mut watch, mut then) = Watch::new(self.discovery.pushed);
+        if let Next::WhenAsked { within } = &mut then {
+            // Of a fleet that starts together, those whose balancers ask later than that are spread too.
+            *within = within.mul_f64(1.0 - self.random.f64() / 3.0);
+        }
         let moved = self.moved.clone();
         loop {
             let call = async {
