--- a/crates/codec/src/buffer.rs
+++ b/crates/codec/src/buffer.rs
@@ -55,7 +55,12 @@
     /// Appends what a source that never waits has to give now; 0 at its end.
     pub fn fill_now(&mut self, source: &mut impl io::Read) -> io::Result<usize> {
         self.make_room();
-        let n = source.read(&mut self.bytes[self.end..])?;
+        let n = loop {
+            match source.read(&mut self.bytes[self.end..]) {
+                Err(why) if why.kind() == io::ErrorKind::Interrupted => {}
+                read => break read?,
+            }
+        };
         self.end += n;
         Ok(n)
     }
@@ -68,7 +73,12 @@
             self.reads = 0;
             future::yield_now().await;
         }
-        let n = stream.read(&mut self.bytes[self.end..]).await?;
+        let n = loop {
+            match stream.read(&mut self.bytes[self.end..]).await {
+                Err(why) if why.kind() == io::ErrorKind::Interrupted => {}
+                read => break read?,
+            }
+        };
         self.end += n;
         Ok(n)
     }
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -1,6 +1,6 @@
 //! Book: what came of a forward is told to the balancer, exactly once.
 
-use super::{Halt, Sidecar, Target};
+use super::{AttemptFacts, Denial, Halt, Sidecar, Target};
 use async_channel::Receiver;
 use cottonpoint_decide::*;
 use std::rc::Rc;
@@ -39,15 +39,54 @@
         self.halted.recv().await.unwrap_or(Halt::Withdrawn)
     }
 
-    /// Whether its next byte may be written, if the last one comes to the target `way` from now; else how it ends. The
-    /// one place that says so: a target that wants nothing new gets no first byte, and nothing goes out for a flow that
-    /// is over or that the balancer would not have run then.
-    pub fn may_write(&self, begun: bool, way: Duration) -> Result<(), Outcome> {
-        let now = self.sidecar.clock.now();
-        if now >= self.until || !begun && !self.wanted() {
-            return Err(Outcome::ConnectFailed);
+    /// Whether its next byte may be written, if the last one comes to the target `way` from now; else why not. The guard
+    /// says so: a target that wants nothing new gets no first byte, and nothing goes out for a flow that is over, whose
+    /// client has gone, or that the balancer would not have run then.
+    pub fn may_write(&self, begun: bool, client_waits: bool, way: Duration) -> Result<(), Denial> {
+        let sidecar = &self.sidecar;
+        let now = sidecar.clock.now();
+        let (request_open, repeatable) = sidecar.may_reach(self.flow, now + way);
+        let facts = AttemptFacts {
+            begun,
+            client_waits,
+            request_open,
+            repeatable,
+            until: self.until,
+            endpoint: sidecar.core.borrow().group.standing(self.target.id),
+            list_valid: sidecar.lease.borrow().is_valid(now),
+        };
+        sidecar.guard.may_write(now, facts).inspect_err(|denial| self.log_denial(*denial, facts))
+    }
+
+    fn log_denial(&self, denial: Denial, facts: AttemptFacts) {
+        let (age, _) = self.sidecar.list_age();
+        tracing::debug!(
+            flow = self.flow.0,
+            attempt = self.attempt,
+            endpoint = %format_args!("{:016x}", self.target.id.0),
+            reason = denial.name(),
+            standing = ?facts.endpoint,
+            list_age_ms = age.map(|age| age.as_millis() as u64),
+            "an attempt is denied"
+        );
+    }
+
+    /// Checks, by the clock as it stands after its first byte was written, whether a rule was broken.
+    pub fn check_begun(&self) {
+        let sidecar = &self.sidecar;
+        let now = sidecar.clock.now();
+        let list_violated = sidecar.lease.borrow().is_violated(now);
+        if let Some(violation) = sidecar.guard.check_begun(now, self.until, list_violated) {
+            let (age, _) = sidecar.list_age();
+            tracing::error!(
+                flow = self.flow.0,
+                attempt = self.attempt,
+                endpoint = %format_args!("{:016x}", self.target.id.0),
+                rule = violation.name(),
+                list_age_ms = age.map(|age| age.as_millis() as u64),
+                "a rule was broken"
+            );
         }
-        if self.sidecar.may_reach(self.flow, now + way) { Ok(()) } else { Err(Outcome::Moot) }
     }
 
     /// Whether its target still takes new work.
--- a/crates/core/src/counts.rs
+++ b/crates/core/src/counts.rs
@@ -44,6 +44,7 @@
     forwards: [Cell<u64>; Outcome::ALL.len()],
     lists: Cell<u64>,
     list_failures: Cell<u64>,
+    lease_expiries: Cell<u64>,
     classes: RefCell<BTreeMap<String, ClassCounts>>,
     configurations: [Cell<u64>; 2],
     bad_requests: Cell<u64>,
@@ -74,6 +75,15 @@
         more(if told { &self.lists } else { &self.list_failures });
     }
 
+    pub(crate) fn lease_expired(&self) {
+        more(&self.lease_expiries);
+    }
+
+    /// How often the list could not be confirmed in time, so that nothing new was sent.
+    pub fn lease_expiries(&self) -> u64 {
+        self.lease_expiries.get()
+    }
+
     fn of_class(&self, class: &str, count: impl FnOnce(&mut ClassCounts)) {
         let mut classes = self.classes.borrow_mut();
         if let Some(counts) = classes.get_mut(class) {
--- /dev/null
+++ b/crates/core/src/lease/tests.rs
@@ -0,0 +1,168 @@
+use super::*;
+
+const GRACE: Duration = Duration::from_millis(500);
+const HOLD: Duration = Duration::from_secs(10);
+const ASKED: Discovery = Discovery::OnRequest { ask_within: Duration::from_secs(10) };
+/// What is left of the grace for a process that is held up.
+const USED: u64 = 300;
+
+fn at(ms: u64) -> Time {
+    Time(1_000_000_000_000) + Duration::from_millis(ms)
+}
+
+/// A lease, and what has happened by which time.
+struct Story(Lease);
+
+impl Story {
+    fn begin(discovery: Discovery) -> Story {
+        Story(Lease::new(at(0), discovery, GRACE))
+    }
+
+    fn then(mut self, ms: u64, event: PollEvent) -> Story {
+        self.0.observe(at(ms), event);
+        self
+    }
+
+    fn watch(self, ms: u64) -> Story {
+        self.then(ms, PollEvent::Begun { hold: HOLD })
+    }
+
+    fn poll(self, ms: u64) -> Story {
+        self.then(ms, PollEvent::Begun { hold: Duration::ZERO })
+    }
+
+    fn answered(self, ms: u64) -> Story {
+        self.then(ms, PollEvent::Answered { as_of: at(ms) })
+    }
+
+    /// When it runs out if no poll ends before, in milliseconds from the start, as seen at that time.
+    fn expires_seen_at(&self, ms: u64) -> u64 {
+        self.0.expires_at(at(ms)).since(at(0)).as_millis() as u64
+    }
+
+    /// The same, right at the start.
+    fn expires(&self) -> u64 {
+        self.expires_seen_at(0)
+    }
+}
+
+/// Guards against: a list used for longer than a change may stay unknown, with nothing heard at all.
+#[test]
+fn a_process_may_use_the_list_of_its_start_for_six_seconds_and_the_grace() {
+    let lease = Story::begin(ASKED);
+    assert_eq!(lease.expires(), 6000 + USED);
+    assert!(lease.0.is_valid(at(6299)) && !lease.0.is_valid(at(6300)));
+    assert!(!lease.0.is_violated(at(6500)) && lease.0.is_violated(at(6501)));
+    assert_eq!(Story::begin(Discovery::Pushed).expires(), USED);
+}
+
+/// Guards against: the lease extended by tries alone (incident 1: 24 polls turned away at once within 8 s).
+#[test]
+fn polls_turned_away_at_once_extend_nothing() {
+    let mut lease = Story::begin(ASKED).poll(12_487).answered(12_811).watch(12_811);
+    lease = lease.then(13_271, PollEvent::Moved);
+    for n in 0..24 {
+        lease = lease.poll(14_239 + 350 * n).then(14_245 + 350 * n, PollEvent::Rejected);
+    }
+    // Four seconds after the reload; without one, six after the answer.
+    assert_eq!(lease.expires(), 13_271 + 4000 + USED);
+    let lease = Story::begin(ASKED).poll(0).answered(800).watch(800).then(806, PollEvent::Rejected);
+    assert_eq!(lease.expires(), 6800 + USED);
+}
+
+/// Guards against: clients refused in an outage, in which no change can be told; and the clock not run from its end.
+#[test]
+fn an_outage_extends_the_lease_for_as_long_as_it_shows() {
+    let refused = Story::begin(ASKED).poll(5000).then(5001, PollEvent::Unreachable);
+    assert_eq!(refused.expires(), 11_000 + USED);
+    // At the start nothing has shown that discovery is there.
+    let waited = Story::begin(ASKED).poll(1400).then(3400, PollEvent::TurnedAway);
+    assert_eq!(waited.expires(), 7400 + USED);
+    let waited = waited.poll(5800).then(7800, PollEvent::TurnedAway);
+    assert_eq!(waited.expires(), 11_800 + USED);
+    // It is back, and full: what came before its return is told six seconds after the last sign of the outage.
+    let back = waited.poll(10_000).then(10_006, PollEvent::Rejected);
+    let back = back.poll(10_500).then(12_500, PollEvent::TurnedAway);
+    assert_eq!(back.expires(), 11_800 + USED);
+    // Nor does a new outage put off what it may have had while it was there.
+    assert_eq!(back.poll(12_600).then(12_601, PollEvent::Unreachable).expires(), 11_800 + USED);
+}
+
+/// Guards against: a discovery that is there but overrun taken for one that is down.
+#[test]
+fn what_is_turned_away_after_a_wait_extends_nothing_once_discovery_has_been_there() {
+    let lease = Story::begin(ASKED).poll(0).answered(500).watch(500).then(2500, PollEvent::TurnedAway);
+    let lease = lease.poll(4000).then(6000, PollEvent::TurnedAway);
+    assert_eq!(lease.expires(), 6500 + USED);
+}
+
+/// Guards against: a watch that broke taken for a silent one, and what a silent one missed counted too late.
+#[test]
+fn an_open_watch_holds_the_lease_and_its_end_bounds_it() {
+    let open = Story::begin(ASKED).watch(100);
+    assert_eq!(open.expires_seen_at(2600), 12_100 + USED);
+    assert_eq!(open.then(5000, PollEvent::Broken).expires(), 11_000 + USED);
+    // It may have been silent for long before it broke.
+    assert_eq!(Story::begin(ASKED).watch(100).then(9000, PollEvent::Broken).expires(), 12_100 + USED);
+    assert_eq!(Story::begin(ASKED).watch(100).then(11_200, PollEvent::Silent).expires(), 12_100 + USED);
+    // In the queue it is no watch yet.
+    assert_eq!(Story::begin(ASKED).watch(100).then(2000, PollEvent::TurnedAway).expires(), 6100 + USED);
+    assert_eq!(Story::begin(ASKED).watch(100).then(2000, PollEvent::Broken).expires(), 6000 + USED);
+}
+
+/// Guards against: an outage that begins under a watch not taken for one, and a watch that follows another at once
+/// taken for one in the queue.
+#[test]
+fn a_broken_watch_may_be_an_outage() {
+    let watched = Story::begin(ASKED).watch(100).answered(3000).watch(3001).then(3500, PollEvent::Broken);
+    assert_eq!(watched.expires(), 9500 + USED);
+    let outage = watched.poll(6000).then(8000, PollEvent::TurnedAway);
+    assert_eq!(outage.expires(), 12_000 + USED);
+}
+
+/// Guards against: polls that are not answered at all taken for an outage, or for a list.
+#[test]
+fn silence_extends_nothing_unless_an_agent_is_silent() {
+    let silent = Story::begin(ASKED).poll(1000).then(2100, PollEvent::Silent);
+    assert_eq!(silent.expires(), 6000 + USED);
+    let agent = Story::begin(Discovery::Pushed).poll(1000).then(2100, PollEvent::Silent);
+    assert_eq!(agent.expires(), 1000 + USED);
+}
+
+/// Guards against: a series of reloads that puts off the time at which news is due.
+#[test]
+fn reloads_in_a_row_are_counted_from_the_first() {
+    let lease = Story::begin(ASKED).watch(0).answered(4000).watch(4000);
+    let lease =
+        lease.then(5000, PollEvent::Moved).then(6000, PollEvent::Moved).then(8000, PollEvent::Moved);
+    assert_eq!(lease.expires(), 9000 + USED);
+    let unreachable = lease.poll(8100).then(8101, PollEvent::Unreachable);
+    assert_eq!(unreachable.expires(), 14_100 + USED);
+}
+
+/// Guards against: settings that want to be asked more often than the protocol page's 6 s.
+#[test]
+fn the_settings_time_for_asking_binds_where_it_is_shorter() {
+    let often = Discovery::OnRequest { ask_within: Duration::from_millis(500) };
+    let lease = Story::begin(often).poll(100).answered(200);
+    assert_eq!(lease.expires(), 700 + USED);
+    let lease = lease.poll(300).then(400, PollEvent::Rejected);
+    assert_eq!(lease.expires(), 2400 + USED);
+    assert_eq!(lease.watch(500).expires_seen_at(3000), 12_500 + USED);
+}
+
+/// Guards against: the lease extended by a watch that has been asked for and not been taken yet.
+#[test]
+fn a_watch_counts_from_when_it_can_stand_in_no_queue() {
+    let asked = Story::begin(ASKED).watch(5000);
+    assert!(asked.0.is_valid(at(6299)) && !asked.0.is_valid(at(6300)) && !asked.0.is_valid(at(7499)));
+    assert!(asked.0.is_valid(at(7500)) && asked.0.is_valid(at(17_299)) && !asked.0.is_valid(at(17_300)));
+    let changes = [5000, 6299, 6300, 7500].map(|ms| asked.0.next_change(at(ms)));
+    assert_eq!(changes, [Some(at(6300)), Some(at(6300)), Some(at(7500)), Some(at(17_300))]);
+    assert_eq!(asked.0.next_change(at(17_300)), None);
+    // One that follows another at once has been taken, and so has any that an agent is asked for.
+    let follows = Story::begin(ASKED).watch(0).answered(4000).watch(4000);
+    assert_eq!(follows.expires_seen_at(4000), 16_000 + USED);
+    let agent = Story::begin(Discovery::Pushed).poll(0).answered(10).watch(10);
+    assert_eq!(agent.expires_seen_at(10), 12_010 + USED);
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,9 @@
 mod book;
 mod clock;
 mod counts;
+mod guard;
+mod lease;
+mod list;
 mod route;
 mod stop;
 mod targets;
@@ -16,6 +19,9 @@
 pub use book::Forward;
 pub use clock::Clock;
 pub use counts::{ClassCounts, Counts, Fate};
+pub use guard::{AttemptFacts, Denial, EndpointStanding, Guard, Violation};
+pub use lease::{Lease, PollEvent};
+pub use list::ANSWER_WAY;
 pub use route::{FixedResponse, Halt, Step};
 pub use stop::Stop;
 pub use targets::{Group, Lifecycle, Listed, NotListed, Target, target_id};
@@ -28,6 +34,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// The executor that runs all of a sidecar's tasks on one thread.
 pub type Executor = Rc<LocalExecutor<'static>>;
@@ -66,8 +73,17 @@
     next_flow: Cell<u64>,
     subscribe: Sender<()>,
     counts: Counts,
+    guard: Guard,
+    /// How the list is learned, by the settings in force.
+    discovery: Cell<Discovery>,
+    lease: RefCell<Lease>,
+    /// Tells of a change of the lease.
+    lease_changed: (Sender<()>, Receiver<()>),
 }
 
+/// How long something new may go to a target that has left, where the settings do not say (the site files).
+const DRAIN_GRACE: Duration = Duration::from_millis(500);
+
 impl Sidecar {
     /// A sidecar without targets. The receiver yields whenever the balancer asks for the target group.
     pub fn new(
@@ -78,8 +94,9 @@
     ) -> (Rc<Self>, Receiver<()>) {
         // One word says as much as many.
         let (subscribe, subscriptions) = async_channel::bounded(1);
+        let (now, discovery) = (clock.now(), settings.discovery);
         let core = Core {
-            balancers: VecDeque::from([(0, Balancer::new(settings, seed, clock.now()))]),
+            balancers: VecDeque::from([(0, Balancer::new(settings, seed, now))]),
             pending: None,
             seed,
             flows: HashMap::new(),
@@ -93,8 +110,15 @@
             next_flow: Cell::new(1),
             subscribe,
             counts: Counts::default(),
+            guard: Guard::default(),
+            discovery: Cell::new(discovery),
+            lease: Lease::new(now, discovery, DRAIN_GRACE).into(),
+            lease_changed: async_channel::bounded(1),
         };
-        (Rc::new(sidecar), subscriptions)
+        let sidecar = Rc::new(sidecar);
+        let follow = Sidecar::follow_lease(Rc::downgrade(&sidecar));
+        sidecar.executor.spawn(follow).detach();
+        (sidecar, subscriptions)
     }
 
     /// The clock of all events.
@@ -107,77 +131,16 @@
         &self.counts
     }
 
-    /// Targets that are listed and take new work.
-    pub fn targets_that_take_work(&self) -> usize {
-        self.core.borrow().group.that_take_work()
-    }
-
-    /// Whether the list names any target, of whatever lifecycle.
-    pub fn has_targets(&self) -> bool {
-        !self.core.borrow().group.is_empty()
+    /// What says whether something may begin, and counts what it denies.
+    pub fn guard(&self) -> &Guard {
+        &self.guard
     }
 
-    /// Whether a target is listed and takes new work.
-    pub fn takes_work(&self, target: EndpointId) -> bool {
-        self.core.borrow().group.takes_work(target)
-    }
-
-    /// Whether a forward of a flow may come to its target at that time.
-    fn may_reach(&self, flow: RequestId, at: Time) -> bool {
+    /// Whether a flow is owed an answer, and whether a forward of it may come to its target at that time.
+    fn may_reach(&self, flow: RequestId, at: Time) -> (bool, bool) {
         let core = &mut *self.core.borrow_mut();
         let open = core.flows.get(&flow).filter(|entry| !entry.closed).map(|entry| entry.tuning);
-        open.is_some_and(|tuning| core.balancer(tuning).may_reach(flow, at))
-    }
-
-    /// Takes discovery's word on targets and acts on it at once: a send that has not begun to a target that
-    /// wants nothing new is halted.
-    pub fn listed(self: &Rc<Self>, kind: ListKind, entries: &[Listed]) {
-        let endpoints = {
-            let mut core = self.core.borrow_mut();
-            let endpoints = core.group.update(kind, entries);
-            core.halt_unwanted();
-            endpoints
-        };
-        self.counts.list(true);
-        self.feed(Event::Endpoints { kind, entries: &endpoints });
-    }
-
-    /// Takes a target out by hand (`out`), or puts it back: nothing new goes to a target taken out, and a send
-    /// to it that has not begun is halted. The balancer hears of it as of a drain and of a return.
-    pub fn set_out(self: &Rc<Self>, id: EndpointId, out: bool) -> Result<(), NotListed> {
-        self.change_out(|group| group.set_out(id, out))
-    }
-
-    /// Takes out a target that an earlier process of this sidecar had taken out, whether listed or not.
-    pub fn restore_out(self: &Rc<Self>, id: EndpointId) {
-        let _ = self.change_out(|group| Ok(group.restore_out(id)));
-    }
-
-    fn change_out(
-        self: &Rc<Self>,
-        change: impl FnOnce(&mut Group) -> Result<Option<Endpoint>, NotListed>,
-    ) -> Result<(), NotListed> {
-        let endpoint = {
-            let mut core = self.core.borrow_mut();
-            let endpoint = change(&mut core.group)?;
-            core.halt_unwanted();
-            endpoint
-        };
-        if let Some(endpoint) = endpoint {
-            self.feed(Event::Endpoints { kind: ListKind::Delta, entries: &[endpoint] });
-        }
-        Ok(())
-    }
-
-    /// The targets taken out by hand.
-    pub fn taken_out(&self) -> Vec<EndpointId> {
-        self.core.borrow().group.taken_out().collect()
-    }
-
-    /// Targets that the list names, and of them those that get nothing new.
-    pub fn rotation(&self) -> (usize, usize) {
-        let core = self.core.borrow();
-        (core.group.listed(), core.group.out_of_rotation())
+        (open.is_some(), open.is_some_and(|tuning| core.balancer(tuning).may_reach(flow, at)))
     }
 
     /// Flows taken and not ended.
@@ -185,16 +148,11 @@
         self.core.borrow().flows.len()
     }
 
-    /// Tells the balancer that the list could not be had; the one held stays valid.
-    pub fn list_failed(self: &Rc<Self>) {
-        self.counts.list(false);
-        self.feed(Event::DiscoveryFailed);
-    }
-
     /// New flows go by these settings from now on; open flows keep the settings they came in under, with the
     /// balancer that holds them, until the last of them ends. The new balancer learns the target group as it
     /// stands, as at a start.
     pub fn retune(self: &Rc<Self>, settings: Settings) {
+        self.discovery.set(settings.discovery);
         let tuning = {
             let mut core = self.core.borrow_mut();
             core.retire();
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -1,5 +1,6 @@
 //! The target group: who is in it, by identity, and where each target listens.
 
+use super::{Clock, EndpointStanding};
 use cottonpoint_decide::*;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -40,8 +41,16 @@
     pub kind: KindId,
     /// Its lifecycle.
     pub lifecycle: Lifecycle,
-    /// When its process last started; `None`: long ago.
-    pub started: Option<Time>,
+    /// When its process last started, as Unix time in milliseconds by the platform's clock; 0: long ago.
+    pub started_at_ms: u64,
+}
+
+/// A target as listed, and when it started by this process's clock.
+#[derive(Clone, Debug)]
+struct Member {
+    listed: Listed,
+    /// `None`: long ago. The same stamp always gives the same time: the balancer takes any other for a restart.
+    started: Option<Time>,
 }
 
 /// The identity of a target by its name, the same at every sidecar: the balancer orders targets by it, so
@@ -66,7 +75,9 @@
 /// back.
 #[derive(Default)]
 pub struct Group {
-    targets: HashMap<EndpointId, Listed>,
+    targets: HashMap<EndpointId, Member>,
+    /// The list may not be used: all targets count as leaving for the balancer.
+    suspended: bool,
     out: HashSet<EndpointId>,
     ever: VecDeque<EndpointId>,
     known: HashSet<EndpointId>,
@@ -105,12 +116,12 @@
 
     /// The target of that identity.
     pub fn find(&self, id: EndpointId) -> Option<Target> {
-        self.targets.get(&id).map(|t| Target { id, address: t.address })
+        self.targets.get(&id).map(|t| Target { id, address: t.listed.address })
     }
 
     /// What holds for a target: the list's word, unless it is taken out by hand.
     fn lifecycle(&self, id: EndpointId) -> Option<Lifecycle> {
-        let listed = self.targets.get(&id)?.lifecycle;
+        let listed = self.targets.get(&id)?.listed.lifecycle;
         Some(if listed == Lifecycle::Active && self.out.contains(&id) {
             Lifecycle::Leaving
         } else {
@@ -118,15 +129,36 @@
         })
     }
 
+    /// What is known of a target.
+    pub fn standing(&self, id: EndpointId) -> EndpointStanding {
+        match self.lifecycle(id) {
+            Some(Lifecycle::Active) => EndpointStanding::Active,
+            Some(Lifecycle::Leaving) => EndpointStanding::Leaving,
+            Some(Lifecycle::Left) | None => EndpointStanding::Unlisted,
+        }
+    }
+
     /// A target in the balancer's terms, as it holds now.
-    fn endpoint(&self, e: &Listed) -> Endpoint {
+    fn endpoint(&self, member: &Member) -> Endpoint {
+        let e = &member.listed;
         let state = match self.lifecycle(e.id).unwrap_or(Lifecycle::Left) {
+            Lifecycle::Active if self.suspended => EndpointState::Draining,
             Lifecycle::Active => EndpointState::Ready,
             Lifecycle::Leaving => EndpointState::Draining,
             Lifecycle::Left => EndpointState::Gone,
         };
         let (id, zone, cell, kind) = (e.id, e.zone, e.cell, e.kind);
-        Endpoint { id, zone, cell, kind, state, started: e.started }
+        Endpoint { id, zone, cell, kind, state, started: member.started }
+    }
+
+    /// Whether the list may not be used.
+    pub fn is_suspended(&self) -> bool {
+        self.suspended
+    }
+
+    /// Suspends all targets, or ends that; whether it is a change.
+    pub fn set_suspended(&mut self, suspended: bool) -> bool {
+        std::mem::replace(&mut self.suspended, suspended) != suspended
     }
 
     fn remember(&mut self, id: EndpointId) {
@@ -163,23 +195,36 @@
     }
 
     /// Takes a change or a whole list, and puts it in the balancer's terms.
-    pub fn update(&mut self, kind: ListKind, entries: &[Listed]) -> Vec<Endpoint> {
-        if kind == ListKind::Full {
-            self.targets.clear();
-        }
+    pub fn update(&mut self, kind: ListKind, entries: &[Listed], clock: &Clock) -> Vec<Endpoint> {
+        let before = match kind {
+            ListKind::Full => std::mem::take(&mut self.targets),
+            _ => HashMap::new(),
+        };
         let mut endpoints = Vec::with_capacity(entries.len());
-        for e in entries {
-            self.remember(e.id);
-            let mut endpoint = self.endpoint(e);
-            if e.lifecycle == Lifecycle::Left {
-                self.targets.remove(&e.id);
-                endpoint.state = EndpointState::Gone;
-            } else {
-                self.targets.insert(e.id, e.clone());
-                endpoint = self.endpoint(e);
+        for listed in entries {
+            self.remember(listed.id);
+            let known = self.targets.get(&listed.id).or_else(|| before.get(&listed.id));
+            let same = known.filter(|known| known.listed.started_at_ms == listed.started_at_ms);
+            let started = same.map_or_else(|| clock.place_start(listed.started_at_ms), |same| same.started);
+            let standing_before = known.map(|known| known.listed.lifecycle);
+            if standing_before != Some(listed.lifecycle) {
+                let endpoint = format_args!("{:016x}", listed.id.0).to_string();
+                tracing::debug!(endpoint, from = ?standing_before, to = ?listed.lifecycle, "endpoint changes");
             }
-            endpoints.push(endpoint);
+            let member = Member { listed: listed.clone(), started };
+            endpoints.push(self.replace(member));
         }
         endpoints
     }
+
+    /// Puts a target in its place, or removes it, and says what it is to the balancer.
+    fn replace(&mut self, member: Member) -> Endpoint {
+        let id = member.listed.id;
+        if member.listed.lifecycle == Lifecycle::Left {
+            self.targets.remove(&id);
+            return self.endpoint(&member);
+        }
+        self.targets.insert(id, member.clone());
+        self.endpoint(&member)
+    }
 }
--- a/crates/lab/tests/unconfirmed_list.rs
+++ b/crates/lab/tests/unconfirmed_list.rs
@@ -35,34 +35,38 @@
 /// one process went 10 s without an answer and sent to a server that drained).
 #[test]
 fn nothing_new_goes_to_a_draining_server_while_polls_after_a_reload_are_turned_away() {
-    let told = |story: &Story| story.reload(1);
-    assert_eq!(attempts_after_the_grace(AT_THE_DOOR, told), 0);
+    assert_eq!(attempts_after_the_grace(AT_THE_DOOR, CutOff::Reload), 0);
 }
 
 /// Guards against: the same with a discovery that takes polls and answers none.
 #[test]
 fn nothing_new_goes_to_a_draining_server_while_discovery_is_silent() {
-    let told = |story: &Story| story.reload(1);
     let silent = Condition::TurnsAway { after: Duration::from_secs(3600) };
-    assert_eq!(attempts_after_the_grace(silent, told), 0);
+    assert_eq!(attempts_after_the_grace(silent, CutOff::Reload), 0);
 }
 
 /// Guards against: the same with no reload: the watch breaks and every poll after it is turned away at once.
 #[test]
 fn nothing_new_goes_to_a_draining_server_while_a_full_discovery_turns_polls_away() {
-    let told = |story: &Story| {
-        story.discoveries[0].change(AT_THE_DOOR);
-    };
-    assert_eq!(attempts_after_the_grace(AT_THE_DOOR, told), 0);
+    assert_eq!(attempts_after_the_grace(AT_THE_DOOR, CutOff::FullDiscovery), 0);
+}
+
+/// What cuts the process off from the news.
+#[derive(Clone, Copy)]
+enum CutOff {
+    /// A reload names the second discovery.
+    Reload,
+    /// The first discovery ends its watch, and turns polls away at once.
+    FullDiscovery,
 }
 
 /// Plays a story: a process that serves by its list, whatever cuts it off from the news that a server drains, and the
 /// attempts that this server gets once the grace is over.
-fn attempts_after_the_grace(second: Condition, cut_off: impl Fn(&Story)) -> u64 {
+fn attempts_after_the_grace(second: Condition, cut_off: CutOff) -> u64 {
     let executor: Executor = Rc::new(LocalExecutor::new());
     async_io::block_on(executor.run(async {
         let story = Story::begin(&executor, second).await;
-        cut_off(&story);
+        story.cut_off(cut_off).await;
         story.servers[0].list("leaving");
         Timer::after(NEWS_DUE + GRACE + SLACK).await;
         let before = story.attempts(0);
@@ -125,10 +129,24 @@
         Story { servers, discoveries, clients, process, config, known, _folder: folder }
     }
 
-    /// Names another discovery to the process.
-    fn reload(&self, discovery: usize) {
-        write_config(&self.config, self.discoveries[discovery].address(0), &self.known);
-        self.process.signal(Signal::HUP).expect("it runs");
+    /// Cuts the process off, and waits until a poll of it shows that it is.
+    async fn cut_off(&self, how: CutOff) {
+        let asked = match how {
+            CutOff::Reload => &self.discoveries[1],
+            CutOff::FullDiscovery => &self.discoveries[0],
+        };
+        match how {
+            CutOff::Reload => {
+                write_config(&self.config, self.discoveries[1].address(0), &self.known);
+                self.process.signal(Signal::HUP).expect("it runs");
+            }
+            CutOff::FullDiscovery => drop(self.discoveries[0].change(AT_THE_DOOR)),
+        }
+        let begun = Instant::now();
+        while asked.counts().arrived.is_empty() {
+            assert!(begun.elapsed() < NEWS_DUE, "it polls");
+            Timer::after(Duration::from_millis(10)).await;
+        }
     }
 
     /// Attempts that a server has had.
--- a/crates/net/src/clients/flow.rs
+++ b/crates/net/src/clients/flow.rs
@@ -53,6 +53,26 @@
         reply
     }
 
+    /// A request is over with no answer: nobody is there for one, or the guard has it answered all the same.
+    fn close_unanswered(&self, taken: &TakenIn, gone: bool) -> Option<Reply> {
+        match self.sidecar.guard().may_close_unanswered(!gone) {
+            Ok(()) => {
+                tracing::debug!(id = taken.id, class = taken.class_name, "closed: its client has gone");
+                None
+            }
+            Err(violation) => {
+                let rule = violation.name();
+                tracing::error!(
+                    id = taken.id,
+                    class = taken.class_name,
+                    rule,
+                    "a rule was about to be broken"
+                );
+                Some(Reply::fixed(FixedResponse::Failed))
+            }
+        }
+    }
+
     /// While only kept connections are in use before a stop: when to come back, for a request that leaves too few
     /// of them free.
     fn leaves_too_few(&self) -> Option<Duration> {
@@ -99,11 +119,23 @@
                         let written = || self.sidecar.counts().relayed(class);
                         let (outcome, report, served) =
                             self.servers.send(&forward, until, &taken.outgoing, waits, written).await;
+                        let endpoint = forward.target.address;
+                        tracing::debug!(id = taken.id, class, %endpoint, ?outcome, "an attempt has ended");
                         if forward.book(outcome, report) {
                             return Some(Reply::served(served));
                         }
                     }
-                    Step::Answer(response) => return Some(Reply::fixed(response)),
+                    Step::Answer(response) => {
+                        let suspended = self.sidecar.is_suspended();
+                        tracing::debug!(
+                            id = taken.id,
+                            class,
+                            ?response,
+                            suspended,
+                            "answered without an endpoint"
+                        );
+                        return Some(Reply::fixed(response));
+                    }
                     Step::Over => return None,
                 }
             }
@@ -119,6 +151,10 @@
             Some(Reply::fixed(FixedResponse::Failed))
         };
         let reply = future::or(departure, future::or(stages, overdue)).await;
+        let reply = match reply {
+            None => self.close_unanswered(taken, caller.has_gone()),
+            reply => reply,
+        };
         reply.map(|reply| if caller.has_overrun() { reply.last() } else { reply })
     }
 }
--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -19,7 +19,7 @@
 use cottonpoint_codec::http::{self, Fault, Framing, Head};
 use cottonpoint_core::{Executor, Sidecar, Stop};
 use cottonpoint_settings::Platform;
-use futures_lite::{AsyncWriteExt, future};
+use futures_lite::future;
 use room::{AT_BOUND, Closable, DRAIN, DRAIN_EVERY, EARLY, Open, Stage};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
@@ -259,8 +259,8 @@
             }
             // Who sends what cannot be served starts anew; and nobody gets ahead by asking without a pause.
             let keep = keep && !reply.is_last() && !self.leaving();
-            let (mut writer, bytes) = (stream, reply.bytes(keep));
-            let sent = within(SLOW_READER, writer.write_all(&bytes)).await;
+            let bytes = reply.bytes(keep);
+            let sent = within(SLOW_READER, crate::write_all(stream, &bytes)).await;
             answered = Some(Instant::now());
             if sent.is_err() || !keep {
                 break;
@@ -303,7 +303,7 @@
         };
         let framing = take_in::body_framing(&head)?;
         if head.has("expect", "100-continue") && buffer.is_empty() {
-            (&mut reader).write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+            crate::write_all(stream, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
         let body = async { Ok(http::read_body(buffer, &mut reader, framing, http::BODY_LIMIT).await) };
         let body_until = until.max(Instant::now() + body_time(framing));
--- a/crates/net/src/console.rs
+++ b/crates/net/src/console.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use cottonpoint_core::Executor;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::{AsyncReadExt, future};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -174,8 +174,7 @@
             Ok(Err(_)) => answer_line(Err("not UTF-8".to_owned())),
             Err(TooLong) => answer_line(Err("line too long".to_owned())),
         };
-        let mut writer = stream;
-        writer.write_all(reply.as_bytes()).await.map(|()| true)
+        crate::write_all(stream, reply.as_bytes()).await.map(|()| true)
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,12 +5,13 @@
 pub mod list;
 pub mod servers;
 
-use async_io::Timer;
+use async_io::{Async, Timer};
 use cottonpoint_codec::buffer::Buffer;
 use cottonpoint_codec::http::{self, Answer, Fault};
-use futures_lite::{AsyncRead, future};
+use futures_lite::{AsyncRead, AsyncWriteExt, future};
 use std::future::Future;
 use std::io;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// Runs a future for at most so long.
@@ -27,6 +28,20 @@
     .await
 }
 
+/// Writes all bytes, past interruptions and short writes.
+pub async fn write_all(stream: &Async<TcpStream>, mut bytes: &[u8]) -> io::Result<()> {
+    let mut writer = stream;
+    while !bytes.is_empty() {
+        match writer.write(bytes).await {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => bytes = &bytes[written..],
+            Err(why) if why.kind() == io::ErrorKind::Interrupted => {}
+            Err(why) => return Err(why),
+        }
+    }
+    Ok(())
+}
+
 /// Reads a whole answer, past interim ones. Waiting for it is up to the caller, but once one has begun it must
 /// be whole `whole_within` that time.
 pub async fn read_answer(
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -1,19 +1,23 @@
 //! The endpoint list: discovery, polled first when the balancer subscribes (an agent's list: at once), then watched for
 //! as long as the watch holds. When each poll is made and given up stands in `schedule`.
 
+mod answer;
+mod evidence;
 mod schedule;
 
+pub use answer::{Answer, Names};
+
 use crate::servers::Servers;
 use crate::within;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use cottonpoint_codec::buffer::Buffer;
 use cottonpoint_codec::http::Fault;
-use cottonpoint_core::{Clock, Lifecycle, Listed, Sidecar, target_id};
+use cottonpoint_core::{Listed, PollEvent, Sidecar};
 use cottonpoint_decide::*;
-use futures_lite::{AsyncWriteExt, future};
+use evidence::{connect_outcome, evidence};
+use futures_lite::future;
 use schedule::{NextPoll, Outcome, Schedule, WHOLE_ANSWER};
-use serde::Deserialize;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -23,72 +27,6 @@
 /// Discovery is down, or a poll waited too long in its queue (the protocol page).
 const UNAVAILABLE: u16 = 503;
 
-/// Discovery's answer, as it stands in a configuration's `known` too.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct Answer {
-    /// The list's version.
-    pub generation: u64,
-    /// Whether this is the whole list.
-    #[serde(default)]
-    pub reset: bool,
-    instances: Vec<Line>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Line {
-    instance_id: String,
-    host_port: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    machine_type: String,
-    #[serde(default)]
-    cell: u16,
-    lifecycle: String,
-    #[serde(default)]
-    started_at_ms: u64,
-}
-
-/// The names that the list uses for zones and machine kinds, in the order of the settings.
-#[derive(Clone, Debug, Default)]
-pub struct Names {
-    /// Zones.
-    pub zones: Vec<String>,
-    /// Machine kinds.
-    pub kinds: Vec<String>,
-}
-
-fn position(names: &[String], name: &str) -> u16 {
-    let at = names.iter().position(|n| n == name);
-    at.and_then(|i| u16::try_from(i).ok()).unwrap_or(u16::MAX)
-}
-
-impl Answer {
-    /// The answer in the core's terms; an unknown lifecycle makes it a bad one.
-    pub fn listed(&self, names: &Names) -> Result<(ListKind, Vec<Listed>), String> {
-        let kind = if self.reset { ListKind::Full } else { ListKind::Delta };
-        let lines = self.instances.iter().map(|line| {
-            let lifecycle = match line.lifecycle.as_str() {
-                "active" => Lifecycle::Active,
-                "leaving" => Lifecycle::Leaving,
-                "left" => Lifecycle::Left,
-                other => return Err(format!("unknown lifecycle {other}")),
-            };
-            Ok(Listed {
-                id: target_id(&line.instance_id),
-                address: line.host_port,
-                zone: ZoneId(position(&names.zones, &line.zone)),
-                cell: CellId(line.cell),
-                kind: KindId(position(&names.kinds, &line.machine_type)),
-                lifecycle,
-                started: Clock::from_unix_ms(line.started_at_ms),
-            })
-        });
-        Ok((kind, lines.collect::<Result<_, _>>()?))
-    }
-}
-
 /// Where discovery is, and how it tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -147,6 +85,18 @@
     why: io::Error,
 }
 
+impl Failure {
+    /// An answer that could not be read; `silent` stands for one that did not come to its end.
+    fn of(fault: Fault, silent: Outcome) -> Failure {
+        let outcome = match fault {
+            Fault::Broken => Outcome::Failed,
+            Fault::Stalled => silent,
+            Fault::Malformed(_) | Fault::HeadTooLong | Fault::BodyTooLong => Outcome::Unusable,
+        };
+        Failure { outcome, why: io::Error::other(fault.to_string()) }
+    }
+}
+
 impl From<io::Error> for Failure {
     fn from(why: io::Error) -> Failure {
         Failure { outcome: Outcome::Failed, why }
@@ -192,7 +142,9 @@
                     return Step::Over;
                 }
                 let begun = Instant::now();
-                Step::Ended(self.poll(&schedule, begun, &mut connection).await, begun.elapsed())
+                let hold = schedule.hold(self.generation.is_none());
+                self.sidecar.polled(PollEvent::Begun { hold });
+                Step::Ended(self.poll(&schedule, begun, hold, &mut connection).await, begun.elapsed())
             };
             match future::or(async { Step::Moved(next_place(&moved).await) }, poll).await {
                 Step::Ended(Ok(news), took) => {
@@ -200,16 +152,17 @@
                         tracing::info!("discovery answers again");
                     }
                     let early = news.early;
-                    self.take(news);
-                    next = schedule.ended(Outcome::Answered { early }, took, self.random.f64());
+                    self.take(news, took);
+                    next = self.next_poll(&mut schedule, Outcome::Answered { early }, took);
                 }
                 Step::Ended(Err(Failure { outcome, why }), took) => {
                     if last_logged.changes_to(&why.to_string()) {
                         tracing::warn!(failure = %why, "discovery failed, the old list holds");
                     }
-                    tracing::debug!(failure = %why, ?outcome, "discovery failed");
+                    self.sidecar.polled(evidence(outcome, took));
                     self.sidecar.list_failed();
-                    next = schedule.ended(outcome, took, self.random.f64());
+                    next = self.next_poll(&mut schedule, outcome, took);
+                    self.log_failure(&why, outcome, took, next);
                 }
                 Step::Moved(place) => {
                     connection = None;
@@ -221,17 +174,40 @@
         }
     }
 
-    /// Hands on what discovery answered.
-    fn take(&self, News { kind, listed, .. }: News) {
+    /// When the next poll is made, after one that took so long and ended so.
+    fn next_poll(&mut self, schedule: &mut Schedule, outcome: Outcome, took: Duration) -> NextPoll {
+        let (_, lease_left) = self.sidecar.list_age();
+        schedule.ended(outcome, took, lease_left, self.random.f64())
+    }
+
+    fn log_failure(&self, why: &io::Error, outcome: Outcome, took: Duration, next: NextPoll) {
+        let (age, lease_left) = self.sidecar.list_age();
+        tracing::debug!(
+            failure = %why,
+            ?outcome,
+            took_ms = took.as_millis() as u64,
+            list_age_ms = age.map(|age| age.as_millis() as u64),
+            lease_left_ms = lease_left.as_millis() as u64,
+            ?next,
+            "discovery failed"
+        );
+    }
+
+    /// Hands on what discovery answered to a poll that took so long.
+    fn take(&self, News { kind, listed, .. }: News, took: Duration) {
         let (generation, lines) = (self.generation, listed.len());
-        tracing::debug!(generation, lines, ?kind, "discovery told");
-        self.sidecar.listed(kind, &listed);
+        if lines > 0 {
+            tracing::info!(generation, lines, ?kind, took_ms = took.as_millis() as u64, "discovery told");
+        }
+        let begun = self.sidecar.clock().now() - took;
+        self.sidecar.answered(kind, &listed, begun);
         self.servers.keep_only(|target| self.sidecar.takes_work(target));
     }
 
     /// Discovery is there from now on. Its versions there may be others: the whole list is polled for. The place held
     /// is named again where its list is wanted at once.
     fn move_to(&mut self, place: Place) -> (Schedule, NextPoll) {
+        self.sidecar.polled(PollEvent::Moved);
         self.generation = None;
         if std::mem::replace(&mut self.discovery, place) == place {
             Schedule::at_once(place.pushed)
@@ -245,9 +221,9 @@
         &mut self,
         schedule: &Schedule,
         begun: Instant,
+        hold: Duration,
         connection: &mut Option<Connection>,
     ) -> Result<News, Failure> {
-        let hold = schedule.hold(self.generation.is_none());
         let mut c = match connection.take() {
             Some(c) => c,
             None => connect(self.discovery.address, schedule.connect_timeout()).await?,
@@ -255,10 +231,11 @@
         let timeout = schedule.answer_timeout(hold, begun.elapsed());
         let (_, status, body, keep) = self.exchange(&mut c, hold, timeout).await?;
         if status != 200 {
-            let outcome = if status == UNAVAILABLE { Outcome::TurnedAway } else { Outcome::Failed };
+            let outcome = if status == UNAVAILABLE { Outcome::TurnedAway } else { Outcome::Unusable };
             return Err(Failure { outcome, why: io::Error::other(format!("status {status}")) });
         }
-        let (answer, listed) = self.checked(&body)?;
+        let checked = self.checked(&body);
+        let (answer, listed) = checked.map_err(|why| Failure { outcome: Outcome::Unusable, why })?;
         let fresh = self.generation != Some(answer.generation);
         let news = fresh && (answer.reset || !listed.1.is_empty());
         let early = !news && begun.elapsed() < hold;
@@ -282,17 +259,16 @@
         tracing::debug!(generation = self.generation, "asks discovery");
         let request = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         let exchange = async {
-            c.stream.write_all(request.as_bytes()).await?;
-            let answer = crate::read_answer(&mut c.buffer, &mut c.stream, LIST_LIMIT, WHOLE_ANSWER).await;
-            answer.map_err(|fault| match fault {
-                Fault::Stalled => io::ErrorKind::TimedOut.into(),
-                fault => io::Error::other(fault.to_string()),
-            })
+            crate::write_all(&c.stream, request.as_bytes()).await?;
+            Ok(crate::read_answer(&mut c.buffer, &mut c.stream, LIST_LIMIT, WHOLE_ANSWER).await)
         };
-        within(timeout, exchange).await.map_err(|why| match why.kind() {
-            io::ErrorKind::TimedOut => Failure { outcome: Outcome::Silent { waits: !hold.is_zero() }, why },
-            _ => why.into(),
-        })
+        let silent = Outcome::Silent { waits: !hold.is_zero() };
+        match within(timeout, exchange).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(fault)) => Err(Failure::of(fault, silent)),
+            Err(why) if why.kind() == io::ErrorKind::TimedOut => Err(Failure { outcome: silent, why }),
+            Err(why) => Err(why.into()),
+        }
     }
 
     /// Reads an answer, and refuses one by which the list held would be lost.
@@ -332,10 +308,7 @@
 
 async fn connect(address: SocketAddr, timeout: Duration) -> Result<Connection, Failure> {
     let stream = within(timeout, Async::<TcpStream>::connect(address)).await;
-    let stream = stream.map_err(|why| match why.kind() {
-        io::ErrorKind::TimedOut => Failure { outcome: Outcome::Unconnected, why },
-        _ => why.into(),
-    })?;
+    let stream = stream.map_err(|why| Failure { outcome: connect_outcome(&why), why })?;
     stream.get_ref().set_nodelay(true)?;
     Ok(Connection { stream, buffer: Buffer::default() })
 }
--- a/crates/net/src/list/schedule.rs
+++ b/crates/net/src/list/schedule.rs
@@ -19,9 +19,10 @@
 //! a poll that waited too long costs discovery as much as one that is served. After a reload the first poll is drawn
 //! over `RELOAD_SPREAD`.
 //!
-//! *A poll that is turned away at the door is made again soon.* Where 503 comes at once, discovery is alive, its queue was
-//! full, and to say so cost it little; a place in the queue is a matter of tries, against all other callers. The next polls
-//! follow at `DOOR_PAUSE`, after `DOOR_TRIES` in a row at `DOOR_PAUSE_LATER`.
+//! *A poll that is turned away at the door is made again with truncated exponential backoff.* Where 503 comes at once,
+//! discovery is alive and its queue is full, also with polls of this fleet: each that is turned away costs it something.
+//! The pause begins at `DOOR_PAUSE_FIRST` and doubles up to `DOOR_PAUSE_MOST`; an answer takes one doubling back. The list
+//! itself is not used beyond its lease (`cottonpoint_core::Lease`), so a late answer costs requests, never a rule.
 //!
 //! # What is owed
 //!
@@ -74,15 +75,17 @@
 const INTERVAL_DRAWN: f64 = 0.1;
 /// A poll that was turned away sooner than this did not stand in the queue: a quarter of the longest time there (1 s,
 /// the site files), more than the way takes.
-const AT_THE_DOOR: Duration = Duration::from_millis(250);
-/// The pause after a poll that was turned away at the door, from half of this to one and a half, drawn: twenty tries until
-/// news is due. Where other callers keep the queue full, one try in five was let in.
-const DOOR_PAUSE: Duration = Duration::from_millis(NEWS_DUE.as_millis() as u64 / 20);
-/// So many such pauses in a row fill the time until news is due.
-const DOOR_TRIES: u32 = (NEWS_DUE.as_millis() / DOOR_PAUSE.as_millis()) as u32;
-/// The pause after more of them: discovery that answers 503 at once for so long may as well be down. The longest time in the
-/// queue (the site files): when this has passed after its return, all that it let in before has been served.
-const DOOR_PAUSE_LATER: Duration = Duration::from_secs(1);
+pub(super) const AT_THE_DOOR: Duration = Duration::from_millis(250);
+/// The pause after a first poll that was turned away at the door, from half of this to one and a half, drawn.
+const DOOR_PAUSE_FIRST: Duration = Duration::from_millis(300);
+/// The longest such pause, drawn likewise: three tries at least until news is due.
+const DOOR_PAUSE_MOST: Duration = Duration::from_millis(NEWS_DUE.as_millis() as u64 / 3);
+/// So many doublings reach it.
+const DOOR_DOUBLINGS: u32 = 3;
+/// The pause after a poll that this process could not begin, drawn up to twice that: what ran out comes back soon.
+const NOT_MADE_PAUSE: Duration = Duration::from_millis(50);
+/// The first pause is not drawn over less than this, whatever is left of the lease.
+const SPREAD_LEAST: Duration = Duration::from_millis(300);
 /// The first poll of a process is made within this time, whatever the balancer says: half of what [`NEWS_DUE`] leaves
 /// beside `ANSWER_FIRST` and 0.1 s for timers.
 const START_WITHIN: Duration =
@@ -109,10 +112,16 @@
     Answered { early: bool },
     /// Discovery is alive and said that it cannot serve this one (status 503).
     TurnedAway,
-    /// With a connection refused or reset, or with an answer that could not be used.
+    /// The connection ended.
     Failed,
+    /// With an answer that could not be used.
+    Unusable,
+    /// Nobody listens there.
+    Refused,
     /// The connection did not come up.
     Unconnected,
+    /// This process could not begin it: it has no port, buffer or descriptor to spare.
+    NotMade,
     /// The connection came up and nothing, or no more, was heard; whether it was a poll that waits.
     Silent { waits: bool },
 }
@@ -134,8 +143,8 @@
     unheard: bool,
     /// Polls that came to nothing since the last answer.
     failures: u32,
-    /// Polls turned away at the door since any other outcome.
-    turned_away_at_door: u32,
+    /// Doublings of the next pause after a poll that is turned away at the door.
+    door_doublings: u32,
     /// Time for the answer to a poll that does not wait.
     answer: Duration,
 }
@@ -150,7 +159,7 @@
             NextPoll::OnSubscribe { within: START_WITHIN }
         };
         let schedule =
-            Schedule { pushed, unheard: false, failures: 0, turned_away_at_door: 0, answer: ANSWER_FIRST };
+            Schedule { pushed, unheard: false, failures: 0, door_doublings: 0, answer: ANSWER_FIRST };
         (schedule, first)
     }
 
@@ -181,32 +190,32 @@
         if hold.is_zero() { self.answer.saturating_sub(connected_after) } else { hold + WATCH_GRACE }
     }
 
-    /// What comes after a poll that took so long and ended so; `draw` lies in 0..1.
-    pub fn ended(&mut self, outcome: Outcome, took: Duration, draw: f64) -> NextPoll {
+    /// What comes after a poll that took so long and ended so, where the list may still be used for that time; `draw` lies
+    /// in 0..1.
+    pub fn ended(&mut self, outcome: Outcome, took: Duration, lease_left: Duration, draw: f64) -> NextPoll {
         self.unheard = matches!(outcome, Outcome::Silent { .. } | Outcome::Unconnected);
         self.learn_answer_time(outcome, took);
-        let at_door = outcome == Outcome::TurnedAway && took < AT_THE_DOOR;
-        self.turned_away_at_door = if at_door { self.turned_away_at_door.saturating_add(1) } else { 0 };
         let pause = match outcome {
             Outcome::Answered { early } => {
                 self.failures = 0;
+                self.door_doublings = self.door_doublings.saturating_sub(1);
                 return NextPoll::After(early_pause(early, draw).saturating_sub(took));
             }
             Outcome::Silent { waits: true } => SPREAD.mul_f64(draw),
             Outcome::Silent { waits: false } if self.failures < AT_ONCE => SPREAD.mul_f64(draw),
+            Outcome::NotMade => NOT_MADE_PAUSE.mul_f64(1.0 + draw),
             _ if self.pushed => agent_pause(self.failures, draw),
-            _ => self.failure_pause(took, draw),
+            Outcome::TurnedAway if took < AT_THE_DOOR => self.door_pause(draw),
+            _ => interval_pause(self.failures, took, spread(lease_left), draw),
         };
         self.failures = self.failures.saturating_add(1);
         NextPoll::After(pause)
     }
 
-    fn failure_pause(&self, took: Duration, draw: f64) -> Duration {
-        match self.turned_away_at_door {
-            0 => interval_pause(self.failures, took, draw),
-            1..=DOOR_TRIES => DOOR_PAUSE.mul_f64(0.5 + draw),
-            _ => DOOR_PAUSE_LATER.mul_f64(0.5 + draw),
-        }
+    fn door_pause(&mut self, draw: f64) -> Duration {
+        let pause = (DOOR_PAUSE_FIRST * (1 << self.door_doublings)).min(DOOR_PAUSE_MOST);
+        self.door_doublings = (self.door_doublings + 1).min(DOOR_DOUBLINGS);
+        pause.mul_f64(0.5 + draw)
     }
 
     fn learn_answer_time(&mut self, outcome: Outcome, took: Duration) {
@@ -228,14 +237,21 @@
     pause.min(AGENT_BACKOFF_MOST).mul_f64(0.5 + draw / 2.0)
 }
 
+/// Over which time the first poll after a watch broke is drawn: all that the deadline leaves, and no more than the lease on
+/// the list leaves beside an answer through a full queue, unless that is too little for a fleet.
+fn spread(lease_left: Duration) -> Duration {
+    let left = lease_left.saturating_sub(ANSWER_BUSY);
+    if left < SPREAD_LEAST { INTERVAL } else { INTERVAL.min(left) }
+}
+
 /// The pause after a poll that failed after so long, and after so many failures.
-fn interval_pause(failures: u32, took: Duration, draw: f64) -> Duration {
+fn interval_pause(failures: u32, took: Duration, spread: Duration, draw: f64) -> Duration {
     if took > ANSWER_MOST {
         // It was an open watch, and broke just now with all others of the fleet.
-        return INTERVAL.mul_f64(draw);
+        return spread.mul_f64(draw);
     }
     if failures == 0 {
-        return (INTERVAL - took).mul_f64(draw);
+        return spread.min(INTERVAL - took).mul_f64(draw);
     }
     INTERVAL.mul_f64(1.0 - INTERVAL_DRAWN * (1.0 - draw)) - took
 }
--- a/crates/net/src/list/schedule/tests.rs
+++ b/crates/net/src/list/schedule/tests.rs
@@ -29,10 +29,10 @@
     while made.len() < count {
         let took = schedule.answer_timeout(schedule.hold(whole), Duration::ZERO);
         made.push((now, took));
-        now += took + pause(schedule.ended(Outcome::Silent { waits: !whole }, took, draw));
+        now += took + pause(schedule.ended(Outcome::Silent { waits: !whole }, took, NEWS_DUE, draw));
         if !whole {
             assert_eq!(schedule.hold(whole), Duration::ZERO, "after a silence a poll does not wait");
-            schedule.ended(Outcome::Answered { early: false }, Duration::ZERO, draw);
+            schedule.ended(Outcome::Answered { early: false }, Duration::ZERO, NEWS_DUE, draw);
         }
     }
     made
@@ -77,33 +77,56 @@
 fn a_discovery_that_turns_polls_away_has_more_time_until_it_answers_promptly() {
     let (mut schedule, _) = Schedule::new(false);
     assert_eq!(schedule.answer_timeout(ms(0), ms(100)), ms(1000));
-    schedule.ended(Outcome::TurnedAway, ms(10), 0.5);
+    schedule.ended(Outcome::TurnedAway, ms(10), NEWS_DUE, 0.5);
     assert_eq!(schedule.answer_timeout(ms(0), ms(0)), ANSWER_MOST);
-    schedule.ended(Outcome::Answered { early: false }, ms(1300), 0.5);
+    schedule.ended(Outcome::Answered { early: false }, ms(1300), NEWS_DUE, 0.5);
     assert_eq!(schedule.answer_timeout(ms(0), ms(0)), ANSWER_MOST, "it is busy still");
-    schedule.ended(Outcome::Answered { early: false }, ms(20), 0.5);
+    schedule.ended(Outcome::Answered { early: false }, ms(20), NEWS_DUE, 0.5);
     assert_eq!(schedule.answer_timeout(ms(0), ms(0)), ANSWER_FIRST);
 }
 
 /// Guards against: a sidecar that stays away for an interval, and then another, though discovery is alive and only its
-/// queue was full: after SIGHUP its news counts as told within 4 s. And one that polls without end where 503 at once
-/// means that discovery is down.
+/// queue was full; and one whose own tries keep the queue full (incident 1: 24 polls in 8 s, all turned away at once).
 #[test]
-fn a_poll_turned_away_at_the_door_is_made_again_soon_a_few_times() {
+fn a_poll_turned_away_at_the_door_is_made_again_with_exponential_backoff() {
     let (mut schedule, first) = Schedule::moved(false, 1.0);
-    let mut ended = |took, draw| pause(schedule.ended(Outcome::TurnedAway, took, draw));
-    let (mut now, mut within) = (pause(first), 0);
-    while now + ANSWER_BUSY <= NEWS_DUE_AFTER_RELOAD {
-        now += ms(10) + ended(ms(10), 0.5);
-        within += 1;
-    }
-    assert!(within >= 5, "tries that have time for an answer: {within}");
-    // The rest of the tries, then longer pauses.
-    let rest = (within..DOOR_TRIES).map(|_| ended(ms(10), 0.0)).collect::<Vec<_>>();
-    assert!(rest.iter().all(|pause| *pause == ms(150)), "{rest:?}");
-    assert_eq!([0.0, 1.0, 0.0].map(|draw| ended(ms(10), draw)), [ms(500), ms(1500), ms(500)]);
-    // One that stood in the queue begins the count anew.
-    assert_eq!([ended(ms(2000), 1.0), ended(ms(10), 1.0)], [ms(2500), ms(450)]);
+    let mut ended = |took, draw| pause(schedule.ended(Outcome::TurnedAway, took, NEWS_DUE, draw));
+    let first_pauses = [0.5, 0.5, 0.5, 0.5, 0.5].map(|draw| ended(ms(10), draw));
+    assert_eq!(first_pauses, [ms(300), ms(600), ms(1200), ms(2000), ms(2000)]);
+    let begins = first_pauses.iter().scan(pause(first), |now, pause| {
+        *now += ms(10) + *pause;
+        Some(*now)
+    });
+    let in_time = 1 + begins.filter(|begins| *begins + ANSWER_BUSY <= NEWS_DUE).count();
+    assert!(in_time >= 4, "tries that have time for an answer: {in_time}");
+    // Both ends of what is drawn: never a burst, and never an interval.
+    assert_eq!([0.0, 1.0].map(|draw| ended(ms(10), draw)), [ms(1000), ms(3000)]);
+    // One that stood in the queue is made at the interval, and the backoff goes on.
+    assert_eq!([ended(ms(2000), 1.0), ended(ms(10), 0.5)], [ms(2500), ms(2000)]);
+    schedule.ended(Outcome::Answered { early: false }, ms(10), NEWS_DUE, 0.5);
+    let after = pause(schedule.ended(Outcome::TurnedAway, ms(10), NEWS_DUE, 0.5));
+    assert_eq!(after, ms(1200), "an answer takes one doubling back, and no more");
+}
+
+/// Guards against: an interval waited for after a fault of this process's own, which passes in a moment.
+#[test]
+fn a_poll_that_could_not_be_made_is_made_soon() {
+    let (mut schedule, _) = Schedule::new(false);
+    let pauses = [0.0, 1.0].map(|draw| pause(schedule.ended(Outcome::NotMade, ms(0), NEWS_DUE, draw)));
+    assert_eq!(pauses, [ms(50), ms(100)]);
+}
+
+/// Guards against: a first poll after a broken watch drawn beyond the lease that is left, so that clients are refused.
+#[test]
+fn the_first_poll_after_a_watch_broke_is_made_while_the_lease_lasts() {
+    let first = |left, draw| {
+        let (mut schedule, _) = Schedule::new(false);
+        pause(schedule.ended(Outcome::Failed, ms(9000), left, draw))
+    };
+    assert_eq!(first(NEWS_DUE, 1.0), INTERVAL);
+    assert_eq!(first(ms(2300), 1.0), ms(800));
+    // With nothing left, a fleet still spreads its polls.
+    assert_eq!([first(ms(1500), 1.0), first(ms(0), 0.5)], [INTERVAL, INTERVAL / 2]);
 }
 
 /// Guards against: a poll after a silent watch given up after 1.1 s, though discovery is about to answer it: where the
@@ -111,7 +134,7 @@
 #[test]
 fn a_poll_after_a_silent_watch_has_time_for_an_answer_through_a_full_queue() {
     let (mut schedule, _) = Schedule::new(false);
-    schedule.ended(Outcome::Silent { waits: true }, HOLD + WATCH_GRACE, 0.5);
+    schedule.ended(Outcome::Silent { waits: true }, HOLD + WATCH_GRACE, NEWS_DUE, 0.5);
     assert!(schedule.answer_timeout(schedule.hold(false), ms(100)) >= ANSWER_BUSY);
 }
 
@@ -121,7 +144,7 @@
 fn a_recovery_costs_one_poll_unless_nothing_was_heard() {
     let after = |outcome| {
         let (mut schedule, _) = Schedule::new(false);
-        schedule.ended(outcome, ms(5), 0.5);
+        schedule.ended(outcome, ms(5), NEWS_DUE, 0.5);
         schedule.hold(false)
     };
     assert_eq!([Outcome::TurnedAway, Outcome::Failed].map(after), [HOLD, HOLD]);
@@ -140,7 +163,8 @@
             assert_eq!(first, NextPoll::After(Duration::ZERO));
             let (mut now, mut polls) = (Duration::ZERO, 0);
             while now < outage {
-                now += took.min(schedule.connect_timeout()) + pause(schedule.ended(outcome, took, draw));
+                now += took.min(schedule.connect_timeout())
+                    + pause(schedule.ended(outcome, took, NEWS_DUE, draw));
                 polls += 1;
             }
             assert!(now + ms(150) <= outage + ms(550), "{outage:?}, draw {draw}: {now:?}");
@@ -158,18 +182,18 @@
     for outcome in [Outcome::TurnedAway, Outcome::Failed, Outcome::Unconnected] {
         for (took, draw, waits) in [(250, 0.0, 0), (1000, 1.0, 3500), (9000, 0.5, 2250)] {
             let (mut schedule, _) = Schedule::new(false);
-            assert_eq!(schedule.ended(outcome, ms(took), draw), NextPoll::After(ms(waits)));
+            assert_eq!(schedule.ended(outcome, ms(took), NEWS_DUE, draw), NextPoll::After(ms(waits)));
             // The next one follows at the interval, less what it lasted; one that lasted as a watch does broke anew.
             for (took, draw, waits) in
                 [(250, 0.0, 3800), (2000, 1.0, 2500), (2900, 0.0, 1150), (9000, 1.0, 4500)]
             {
-                assert_eq!(schedule.ended(outcome, ms(took), draw), NextPoll::After(ms(waits)));
+                assert_eq!(schedule.ended(outcome, ms(took), NEWS_DUE, draw), NextPoll::After(ms(waits)));
             }
         }
     }
     for refused in [Outcome::Failed, Outcome::Unconnected] {
         let (mut schedule, _) = Schedule::new(false);
-        let pauses = [0.0, 0.0, 1.0].map(|draw| pause(schedule.ended(refused, ms(0), draw)));
+        let pauses = [0.0, 0.0, 1.0].map(|draw| pause(schedule.ended(refused, ms(0), NEWS_DUE, draw)));
         assert_eq!(pauses, [ms(0), ms(4050), ms(4500)]);
     }
     let moved = |draw| Schedule::moved(false, draw).1;
@@ -194,7 +218,7 @@
 fn a_watch_answered_early_goes_on_after_a_short_pause() {
     for (took, draw, pause) in [(0, 0.0, 100), (0, 1.0, 150), (30, 0.0, 70), (500, 1.0, 0)] {
         let (mut schedule, _) = Schedule::new(true);
-        let next = schedule.ended(Outcome::Answered { early: true }, ms(took), draw);
+        let next = schedule.ended(Outcome::Answered { early: true }, ms(took), NEWS_DUE, draw);
         assert_eq!(next, NextPoll::After(ms(pause)));
     }
 }
--- a/crates/net/src/list/schedule/tests/deadline.rs
+++ b/crates/net/src/list/schedule/tests/deadline.rs
@@ -129,13 +129,13 @@
                     }
                 }
                 whole &= !matches!(outcome, Outcome::Answered { .. });
-                now = ends + pause(schedule.ended(outcome, took, draw()));
+                now = ends + pause(schedule.ended(outcome, took, NEWS_DUE, draw()));
                 continue;
             }
             if let Some(after) = returned.turned_away.take() {
                 let took = ms(1000).mul_f64(after);
                 due += INTERVAL;
-                now += took + pause(schedule.ended(Outcome::TurnedAway, took, draw()));
+                now += took + pause(schedule.ended(Outcome::TurnedAway, took, NEWS_DUE, draw()));
                 continue;
             }
             let had = now + ANSWER_BUSY.mul_f64(returned.answered);
--- a/crates/net/src/servers/send.rs
+++ b/crates/net/src/servers/send.rs
@@ -3,11 +3,12 @@
 use super::{Connection, Servers};
 use async_io::Timer;
 use cottonpoint_codec::http::{self, Fault, Head};
-use cottonpoint_core::{Forward, Halt};
+use cottonpoint_core::{Denial, Forward, Halt};
 use cottonpoint_decide::*;
 use futures_lite::{AsyncWrite, future};
 use std::cell::Cell;
 use std::fmt::Write;
+use std::io;
 use std::pin::Pin;
 use std::task::Poll;
 use std::time::{Duration, Instant};
@@ -107,15 +108,18 @@
         let Ok(mut connection) = connection else { return failed(Outcome::ConnectFailed) };
         let bytes = serialize(message, until);
         // Right before each byte: what was not written whole never ran, so it may be given up at any but the last.
-        let may_write = || match waits() {
-            true => forward.may_write(progress.get() != Progress::NotBegun, way),
-            false => Err(Outcome::Moot),
-        };
-        if let Err(outcome) = write(&connection, &bytes, progress, may_write).await {
-            if outcome == Outcome::Moot && progress.get() == Progress::NotBegun {
-                self.put(target.id, connection); // Nothing went out on it: it is as good as before.
+        let may_write = || forward.may_write(progress.get() != Progress::NotBegun, waits(), way);
+        let begun = || forward.check_begun();
+        match write(&connection, &bytes, progress, may_write, begun).await {
+            Ok(()) => {}
+            Err(NotWritten::Broken) => return failed(Outcome::ConnectFailed),
+            Err(NotWritten::Denied(denial)) => {
+                let outcome = denial.outcome();
+                if outcome == Outcome::Moot && progress.get() == Progress::NotBegun {
+                    self.put(target.id, connection); // Nothing went out on it: it is as good as before.
+                }
+                return failed(outcome);
             }
-            return failed(outcome);
         }
         written();
         let mut stream = &*connection.stream;
@@ -156,27 +160,42 @@
     }
 }
 
-/// Writes all bytes, asking before each piece of them; or says how the forward ends.
+/// Why an attempt was not written whole: it never ran.
+enum NotWritten {
+    /// The connection broke.
+    Broken,
+    /// The guard did not allow it, or not to its end.
+    Denied(Denial),
+}
+
+/// Writes all bytes, asking before each piece of them; `begun` hears once when the first piece is written.
 async fn write(
     connection: &Connection,
     bytes: &[u8],
     progress: &Cell<Progress>,
-    may_write: impl Fn() -> Result<(), Outcome>,
-) -> Result<(), Outcome> {
+    may_write: impl Fn() -> Result<(), Denial>,
+    begun: impl Fn(),
+) -> Result<(), NotWritten> {
     let mut written = 0;
     while written < bytes.len() {
         let piece = future::poll_fn(|context| {
-            if let Err(outcome) = may_write() {
-                return Poll::Ready(Err(outcome));
+            if let Err(denial) = may_write() {
+                return Poll::Ready(Err(NotWritten::Denied(denial)));
+            }
+            loop {
+                match Pin::new(&mut &*connection.stream).poll_write(context, &bytes[written..]) {
+                    Poll::Ready(Err(why)) if why.kind() == io::ErrorKind::Interrupted => {}
+                    polled => return polled.map_err(|_| NotWritten::Broken),
+                }
             }
-            let written = Pin::new(&mut &*connection.stream).poll_write(context, &bytes[written..]);
-            written.map_err(|_| Outcome::ConnectFailed)
         });
         written += match piece.await? {
-            0 => return Err(Outcome::ConnectFailed),
+            0 => return Err(NotWritten::Broken),
             n => n,
         };
-        progress.set(Progress::Begun);
+        if progress.replace(Progress::Begun) == Progress::NotBegun {
+            begun();
+        }
     }
     progress.set(Progress::Written);
     Ok(())
--- a/crates/program/src/metrics.rs
+++ b/crates/program/src/metrics.rs
@@ -7,8 +7,8 @@
 use cottonpoint_core::Sidecar;
 use cottonpoint_net::clients::{Clients, LINGER, close};
 use cottonpoint_net::servers::Servers;
-use cottonpoint_net::within;
-use futures_lite::{AsyncWriteExt, future};
+use cottonpoint_net::{within, write_all};
+use futures_lite::future;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -18,6 +18,7 @@
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 /// Who asks has this long, all in all; one is served at a time, so that none holds memory or descriptors.
@@ -81,6 +82,28 @@
             gauge.set(i64::try_from(n).unwrap_or(i64::MAX));
             gauge
         };
+        let denied = family(&mut self.sidecar.guard().denials());
+        registry.register("attempts_denied", "Attempts not begun or not finished, by reason", denied);
+        let violated = family(&mut self.sidecar.guard().violations());
+        registry.register("rule_violations", "Rules found broken, or about to be, by rule", violated);
+        let expiries: Counter = Counter::default();
+        expiries.inc_by(counts.lease_expiries());
+        registry.register("list_expiries", "Times that the list could not be confirmed in time", expiries);
+        let (age, left) = self.sidecar.list_age();
+        let seconds = |time: Duration| {
+            let gauge: Gauge<f64, AtomicU64> = Gauge::default();
+            gauge.set(time.as_secs_f64());
+            gauge
+        };
+        // Without a list from discovery there is no age.
+        if let Some(age) = age {
+            registry.register(
+                "list_age_seconds",
+                "Time since the list was known to be complete",
+                seconds(age),
+            );
+        }
+        registry.register("list_lease_seconds", "Time for which the list may still be used", seconds(left));
         registry.register("client_connections", "Open client connections", gauge(self.clients.open()));
         registry.register("target_connections", "Open connections to targets", gauge(self.servers.open()));
         registry.register(
@@ -134,8 +157,7 @@
              Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
             body.len()
         );
-        let mut writer = stream;
-        writer.write_all(answer.as_bytes()).await
+        write_all(stream, answer.as_bytes()).await
     }
 }
 
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -103,6 +103,7 @@
     let names = Names { zones: platform.zones.clone(), kinds: platform.kinds.clone() };
     let clock = Clock::start();
     let (sidecar, asked) = Sidecar::new(platform.balancer.clone(), config.seed, clock, executor.clone());
+    sidecar.set_drain_grace(platform.drain_grace);
     let servers = Servers::new(terms(&config), executor.clone());
     // The balancer comes to life with its first event: it is told of an empty list too.
     let known = config.known.as_ref().and_then(|k| k.listed(&names).ok());
@@ -180,6 +181,7 @@
                         bounded.set_platform(config.platform.clone());
                         *classes.borrow_mut() = config.platform.classes.clone();
                     }
+                    counts.set_drain_grace(config.platform.drain_grace);
                     if place(&config) != place(&current) {
                         let _ = moves.try_send(place(&config));
                     }
--- a/crates/program/tests/operator.rs
+++ b/crates/program/tests/operator.rs
@@ -98,7 +98,8 @@
 fn metrics_count_what_passed() {
     let (target, discovery) = (Peer::new(), Peer::new());
     let known = list(1, true, &[line("t0", target.address, "active")]);
-    let configuration = Config::parse(&config(discovery.address, &known, 1024), |_| None).expect("good");
+    let text = config(discovery.address, &known, 1024).replace("400000000", "10000000000");
+    let configuration = Config::parse(&text, |_| None).expect("good");
     let ((listener, address), (watched, metrics)) = (listen(), listen());
     let (words, heard) = async_channel::unbounded();
     let sidecar = std::thread::spawn(move || {
@@ -118,9 +119,14 @@
     // The bad one's connection goes once its close is seen.
     let page = std::iter::repeat_with(|| ask(metrics, "GET /metrics HTTP/1.1\nHost: n0\n\n"));
     let page = { page }.find(|page| page.contains("client_connections 1\n")).expect("at last");
-    let mut counted: Vec<&str> = page.lines().filter(|l| l.starts_with("cottonpoint_")).collect();
+    let lines = page.lines().filter(|line| line.starts_with("cottonpoint_"));
+    let (moving, mut counted): (Vec<&str>, Vec<&str>) = lines.partition(|line| line.contains("_seconds "));
     counted.sort_unstable();
     assert_snapshot!(counted.join("\n"));
+    // It was never confirmed and has no age. It is that of the start, for 6 s and 0.3 s of the grace.
+    let lease = moving.iter().map(|line| line.rsplit_once(' ').expect("a figure"));
+    let lease: Vec<(&str, f64)> = lease.map(|(name, s)| (name, s.parse().expect("a number"))).collect();
+    assert!(matches!(lease[..], [("cottonpoint_list_lease_seconds", 5.0..=6.3)]), "{lease:?}");
     assert!(ask(metrics, "GET / HTTP/1.1\nHost: n0\n\n").starts_with("HTTP/1.1 404"));
     words.try_send(Word::Stop).expect("it listens");
     sidecar.join().expect("it ends without a panic");
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -54,6 +54,8 @@
     pub connect_timeout: Duration,
     /// The other side closes a connection that has stood idle for this long.
     pub conn_idle: Duration,
+    /// How long something new may still go to an endpoint once this process was told that it leaves.
+    pub drain_grace: Duration,
     /// The longest stay-away that a client heeds.
     pub max_retry_after: Option<Duration>,
 }
--- a/crates/settings/src/written.rs
+++ b/crates/settings/src/written.rs
@@ -12,6 +12,8 @@
 
 /// A connection that takes longer to come up is given up, where the settings do not say.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
+/// How long something new may go to an endpoint that leaves, where the settings do not say (the site files).
+const DRAIN_GRACE: Duration = Duration::from_millis(500);
 /// How long a connection may stand idle, where the settings do not say.
 const CONN_IDLE: Duration = Duration::from_secs(30);
 /// How far the tenants' shares together may be off the whole, for each of them: shares may be written rounded
@@ -139,6 +141,7 @@
     warm_after_ns: Nanos,
     fall_multiple: Amount,
     tip_after_ns: Nanos,
+    stop_sending_within_ns: Option<Nanos>,
 }
 
 #[derive(Deserialize)]
@@ -283,6 +286,7 @@
             kinds: self.shapes.0,
             connect_timeout: limits.connect_timeout_ns.map_or(CONNECT_TIMEOUT, above_zero),
             conn_idle: limits.conn_idle_ns.map_or(CONN_IDLE, nanos),
+            drain_grace: self.obligations.stop_sending_within_ns.map_or(DRAIN_GRACE, nanos),
             max_retry_after,
         })
     }
