--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -68,6 +68,14 @@
         (lease.age(now), lease.expires_at(now).since(now))
     }
 
+    /// How soon discovery is to be asked at first, by the settings; `None` where an agent pushes the list.
+    pub fn ask_within(&self) -> Option<Duration> {
+        match self.discovery.get() {
+            Discovery::OnRequest { ask_within } => Some(ask_within),
+            Discovery::Pushed => None,
+        }
+    }
+
     /// Whether nothing new is sent since the list could not be confirmed.
     pub fn is_suspended(&self) -> bool {
         self.core.borrow().group.is_suspended()
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -15,6 +15,7 @@
 use cottonpoint_lab::prove;
 use cottonpoint_lab::report::{self, figure_rows, markdown};
 use cottonpoint_lab::scenario::Scenario;
+use cottonpoint_lab::soak::Arguments;
 use cottonpoint_lab::store::{Name, Row, Store, version};
 use cottonpoint_lab::world::World;
 use serde::Serialize;
@@ -94,6 +95,9 @@
         }
         Command::Results { what, form } => results::results(what, form),
         Command::Up { length, rate, form } => up(length.map(Into::into), rate, form),
+        Command::Soak { seed, seeds, short, program, logs } => {
+            Ok(cottonpoint_lab::soak::run(&Arguments { seed, seeds, short, program, logs })?)
+        }
         Command::Scale { short, total, real, out } => scale::scale(short, total, real, out),
         Command::ScaleHost { role } => scale::host(role),
         Command::Program(_) | Command::ScaleSidecar(_) => Err("the program is started elsewhere".into()),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod scale;
 pub mod scenario;
 pub mod score;
+pub mod soak;
 pub mod store;
 pub mod world;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -161,6 +161,25 @@
         #[bpaf(long, argument("FOLDER"), fallback(PathBuf::from("lab/results/scale")), debug_fallback)]
         out: PathBuf,
     },
+    /// Play faults that overlap on many real processes, and check the protocol's rules at both ends
+    #[bpaf(command)]
+    Soak {
+        /// The seed of the first run
+        #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+        /// Runs, with seeds in a row
+        #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+        seeds: u64,
+        /// Shorter runs of fewer processes
+        #[bpaf(long)]
+        short: bool,
+        /// The program's executable, in place of the one in this executable
+        #[bpaf(long, argument("FILE"), optional)]
+        program: Option<PathBuf>,
+        /// Where the processes' logs go
+        #[bpaf(long, argument("FOLDER"), optional)]
+        logs: Option<PathBuf>,
+    },
     /// One process of stand-ins, as `scale` starts it
     #[bpaf(command("scale-host"), hide)]
     ScaleHost {
--- a/crates/lab/src/rig/process.rs
+++ b/crates/lab/src/rig/process.rs
@@ -2,7 +2,7 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
-use std::ffi::OsStr;
+use std::ffi::{OsStr, OsString};
 use std::io::{self, BufRead, BufReader};
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -61,9 +61,21 @@
     /// Starts a program that logs to standard error, a JSON object a line. Its state directory (`$TMPDIR`) is the
     /// one named; nothing else of the environment changes.
     pub fn start<A: AsRef<OsStr>>(program: &Path, arguments: &[A], state: &Path) -> io::Result<Process> {
+        Process::start_with(program, arguments, state, &[])
+    }
+
+    /// The same with further variables in its environment.
+    pub fn start_with<A: AsRef<OsStr>>(
+        program: &Path,
+        arguments: &[A],
+        state: &Path,
+        environment: &[(OsString, OsString)],
+    ) -> io::Result<Process> {
+        let variables = environment.iter().map(|(name, value)| (name, value));
         let mut child = Command::new(program)
             .args(arguments)
             .env("TMPDIR", state)
+            .envs(variables)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -49,7 +49,9 @@
     BODY_BEGINS + Duration::from_secs_f64(length as f64 / BODY_RATE)
 }
 
-/// Pause before accepting is tried again.
+/// Pause before accepting is tried again after a fault that may last: doubled from the first to the longest. Those who come
+/// meanwhile wait, and their time runs.
+const ACCEPT_AGAIN_FIRST: Duration = Duration::from_millis(1);
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
 /// All that client connections share.
@@ -107,7 +109,7 @@
     /// Accepts connections until the last call, and then those that are queued: they have come to this process, and
     /// closing the listener would reset them. Connections without an open flow make room; one with a flow never does.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
-        let mut last = false;
+        let (mut last, mut pause) = (false, ACCEPT_AGAIN_FIRST);
         loop {
             while self.open.get() >= self.connections.get() {
                 self.short.set(true);
@@ -116,6 +118,7 @@
             }
             match listener.get_ref().accept() {
                 Ok((stream, _)) => {
+                    pause = ACCEPT_AGAIN_FIRST;
                     self.short.set(false);
                     if self.open.get() * 10 >= self.connections.get() * 7 {
                         self.make_room(&EARLY);
@@ -134,14 +137,17 @@
                     };
                     last = future::or(comes, called).await;
                 }
+                Err(e) if concerns_one_connection(&e) => future::yield_now().await,
                 Err(e) => {
+                    tracing::debug!(failure = %e, ?pause, "cannot accept");
                     if out_of_descriptors(&e) {
                         self.short.set(true);
                         self.make_room(&AT_BOUND);
                         self.servers.close_oldest();
                     }
                     // Whatever it is, it may last: it is neither waited for in a spin nor the end of accepting.
-                    accept_again().await;
+                    Timer::after(pause).await;
+                    pause = (pause * 2).min(ACCEPT_AGAIN);
                 }
             }
         }
@@ -316,6 +322,14 @@
     Timer::after(ACCEPT_AGAIN).await;
 }
 
+/// Whether accepting failed for one connection alone, or was interrupted: the next one may be accepted at once.
+fn concerns_one_connection(e: &io::Error) -> bool {
+    const EPROTO: i32 = 71;
+    let kinds =
+        [io::ErrorKind::ConnectionAborted, io::ErrorKind::ConnectionReset, io::ErrorKind::Interrupted];
+    kinds.contains(&e.kind()) || e.raw_os_error() == Some(EPROTO)
+}
+
 fn out_of_descriptors(e: &io::Error) -> bool {
     const ENFILE: i32 = 23;
     const EMFILE: i32 = 24;
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -1,4 +1,4 @@
-//! The endpoint list: discovery, polled first when the balancer subscribes (an agent's list: at once), then watched for
+//! The endpoint list: discovery, polled first at a drawn moment (an agent's list: at once), then watched for
 //! as long as the watch holds. When each poll is made and given up stands in `schedule`.
 
 mod answer;
@@ -24,6 +24,8 @@
 use std::time::{Duration, Instant};
 
 const LIST_LIMIT: usize = 4 << 20;
+/// The first poll of a process is made within this part of the settings' time for asking, if that is sooner.
+const FIRST_OF_ASKING: f64 = 0.36;
 /// Discovery is down, or a poll waited too long in its queue (the protocol page).
 const UNAVAILABLE: u16 = 503;
 
@@ -125,15 +127,15 @@
 }
 
 impl Watcher {
-    /// Makes one poll after the other, each when its schedule says. The balancer's subscriptions count for the first
-    /// one only. Where discovery moves to is polled soon: the old place closes its connections, and what the new one
+    /// Makes one poll after the other, each when its schedule says, until the balancer is gone that subscribes. Where discovery moves to is polled soon: the old place closes its connections, and what the new one
     /// has to tell counts as told soon.
     pub async fn run(mut self, subscribed: Receiver<()>) {
         let (mut last_logged, mut connection) = (LastLogged::default(), None);
         let (mut schedule, mut next) = Schedule::new(self.discovery.pushed);
-        if let NextPoll::OnSubscribe { within } = &mut next {
-            // Of a fleet that starts together, those whose balancers subscribe later than that are spread too.
-            *within = within.mul_f64(1.0 - self.random.f64() / 3.0);
+        if let NextPoll::FirstWithin(within) = next {
+            let within =
+                self.sidecar.ask_within().map_or(within, |ask| within.min(ask.mul_f64(FIRST_OF_ASKING)));
+            next = NextPoll::After(within.mul_f64(self.random.f64()));
         }
         let moved = self.moved.clone();
         loop {
@@ -204,11 +206,11 @@
         self.servers.keep_only(|target| self.sidecar.takes_work(target));
     }
 
-    /// Discovery is there from now on. Its versions there may be others: the whole list is polled for. The place held
-    /// is named again where its list is wanted at once.
+    /// Discovery is there from now on. It is one service (the protocol page), so its versions go on, and a watch brings what
+    /// was missed at a fraction of the cost of the whole list; should they be others, the short first one shows it. The
+    /// place held is named again where its list is wanted at once.
     fn move_to(&mut self, place: Place) -> (Schedule, NextPoll) {
         self.sidecar.polled(PollEvent::Moved);
-        self.generation = None;
         if std::mem::replace(&mut self.discovery, place) == place {
             Schedule::at_once(place.pushed)
         } else {
@@ -289,21 +291,11 @@
 
 /// Waits until the next poll is due; false where nobody is left to poll for.
 async fn wait(next: NextPoll, subscribed: &Receiver<()>) -> bool {
-    match next {
-        NextPoll::After(pause) => {
-            if !pause.is_zero() {
-                Timer::after(pause).await;
-            }
-            !subscribed.is_closed()
-        }
-        NextPoll::OnSubscribe { within } => {
-            let at_latest = async {
-                Timer::after(within).await;
-                Ok(())
-            };
-            future::or(subscribed.recv(), at_latest).await.is_ok()
-        }
+    let (NextPoll::After(pause) | NextPoll::FirstWithin(pause)) = next;
+    if !pause.is_zero() {
+        Timer::after(pause).await;
     }
+    !subscribed.is_closed()
 }
 
 async fn connect(address: SocketAddr, timeout: Duration) -> Result<Connection, Failure> {
--- a/crates/net/src/list/schedule.rs
+++ b/crates/net/src/list/schedule.rs
@@ -41,6 +41,9 @@
 /// How long a poll may wait before discovery answers it all the same: polls are priced over the whole fleet, and a
 /// sidecar without news makes one in so long. At a shorter hold news missed in a silence would be had sooner.
 const HOLD: Duration = Duration::from_secs(10);
+/// The same for the first poll after a reload: an answer of a discovery with other versions than those of the list held
+/// shows it, and comes well within the time in which news is due.
+const MOVED_HOLD: Duration = Duration::from_secs(1);
 /// A watch not answered so long after its wait is taken for silent. 1 s is the longest time for which discovery keeps
 /// a poll in its queue (the site files), 0.1 s is for the way.
 const WATCH_GRACE: Duration = Duration::from_millis(1100);
@@ -77,19 +80,18 @@
 /// the site files), more than the way takes.
 pub(super) const AT_THE_DOOR: Duration = Duration::from_millis(250);
 /// The pause after a first poll that was turned away at the door, from half of this to one and a half, drawn.
-const DOOR_PAUSE_FIRST: Duration = Duration::from_millis(300);
+const DOOR_PAUSE_FIRST: Duration = Duration::from_millis(600);
 /// The longest such pause, drawn likewise: three tries at least until news is due.
 const DOOR_PAUSE_MOST: Duration = Duration::from_millis(NEWS_DUE.as_millis() as u64 / 3);
 /// So many doublings reach it.
-const DOOR_DOUBLINGS: u32 = 3;
+const DOOR_DOUBLINGS: u32 = 2;
 /// The pause after a poll that this process could not begin, drawn up to twice that: what ran out comes back soon.
 const NOT_MADE_PAUSE: Duration = Duration::from_millis(50);
 /// The first pause is not drawn over less than this, whatever is left of the lease.
 const SPREAD_LEAST: Duration = Duration::from_millis(300);
-/// The first poll of a process is made within this time, whatever the balancer says: half of what [`NEWS_DUE`] leaves
-/// beside `ANSWER_FIRST` and 0.1 s for timers.
-const START_WITHIN: Duration =
-    Duration::from_millis((NEWS_DUE.as_millis() - ANSWER_FIRST.as_millis() - 100) as u64 / 2);
+/// The first poll of a process is made within this time, drawn over all of it: processes start together. A watch asked for
+/// by then counts, 2.5 s later, before the lease on the list of the start is over (`cottonpoint_core::Lease`).
+const START_WITHIN: Duration = Duration::from_millis(NEWS_DUE.as_millis() as u64 * 3 / 4);
 /// A watch that is answered before its wait is over, without news, is against the protocol, and would be polled as fast
 /// as it answers. The next poll is made this long after the first one's beginning, up to half as much again, drawn: the
 /// watch goes on, since polls within 200 ms of the last answer belong to it (the protocol page).
@@ -131,8 +133,8 @@
 pub(super) enum NextPoll {
     /// After that time.
     After(Duration),
-    /// When the balancer subscribes, and after this time at the latest.
-    OnSubscribe { within: Duration },
+    /// The first of a process, drawn over this time.
+    FirstWithin(Duration),
 }
 
 /// The polls of one discovery.
@@ -141,6 +143,8 @@
     pushed: bool,
     /// Whether nothing was heard of the last poll.
     unheard: bool,
+    /// Whether it is still to be seen that discovery's versions are those of the list held.
+    moved: bool,
     /// Polls that came to nothing since the last answer.
     failures: u32,
     /// Doublings of the next pause after a poll that is turned away at the door.
@@ -151,32 +155,39 @@
 
 impl Schedule {
     /// No poll yet. A pushed list is polled at once, since what the agent holds counts as told from the first moment;
-    /// any other when the balancer subscribes, so that a fleet that starts together spreads its polls.
+    /// any other at a drawn moment, so that a fleet that starts together spreads its polls.
     pub fn new(pushed: bool) -> (Schedule, NextPoll) {
-        let first = if pushed {
-            NextPoll::After(Duration::ZERO)
-        } else {
-            NextPoll::OnSubscribe { within: START_WITHIN }
+        let first =
+            if pushed { NextPoll::After(Duration::ZERO) } else { NextPoll::FirstWithin(START_WITHIN) };
+        let schedule = Schedule {
+            pushed,
+            unheard: false,
+            moved: false,
+            failures: 0,
+            door_doublings: 0,
+            answer: ANSWER_FIRST,
         };
-        let schedule =
-            Schedule { pushed, unheard: false, failures: 0, door_doublings: 0, answer: ANSWER_FIRST };
         (schedule, first)
     }
 
     /// A reload names another discovery; `draw` lies in 0..1. What an agent holds counts as told at once.
     pub fn moved(pushed: bool, draw: f64) -> (Schedule, NextPoll) {
         let spread = if pushed { Duration::ZERO } else { RELOAD_SPREAD };
-        (Schedule::new(pushed).0, NextPoll::After(spread.mul_f64(draw)))
+        (Schedule { moved: true, ..Schedule::new(pushed).0 }, NextPoll::After(spread.mul_f64(draw)))
     }
 
     /// A poll is due at once, whatever came before.
     pub fn at_once(pushed: bool) -> (Schedule, NextPoll) {
-        (Schedule::new(pushed).0, NextPoll::After(Duration::ZERO))
+        (Schedule { moved: true, ..Schedule::new(pushed).0 }, NextPoll::After(Duration::ZERO))
     }
 
     /// How long the next poll waits for news: not at all for the whole list, nor after one of which nothing was heard.
     pub fn hold(&self, whole: bool) -> Duration {
-        if whole || self.unheard { Duration::ZERO } else { HOLD }
+        match self.moved {
+            _ if whole || self.unheard => Duration::ZERO,
+            true => MOVED_HOLD,
+            false => HOLD,
+        }
     }
 
     /// How long a connection may take to come up.
@@ -197,7 +208,7 @@
         self.learn_answer_time(outcome, took);
         let pause = match outcome {
             Outcome::Answered { early } => {
-                self.failures = 0;
+                (self.failures, self.moved) = (0, false);
                 self.door_doublings = self.door_doublings.saturating_sub(1);
                 return NextPoll::After(early_pause(early, draw).saturating_sub(took));
             }
--- a/crates/program/src/cli.rs
+++ b/crates/program/src/cli.rs
@@ -118,10 +118,15 @@
     });
     let fleet = Membership::start(&operator.fleet, &config.name)?;
     tracing::info!(name = config.name, listen = %address, "serves");
-    let words = signals.map(move |signal| match signal {
-        Ok(Signal::Hup) => Word::Reload(Config::load(&path).map(Box::new)),
-        _ => Word::Stop,
-    });
+    let words = Box::pin(signals.filter_map(move |signal| match signal {
+        Ok(Signal::Hup) => Some(Word::Reload(Config::load(&path).map(Box::new))),
+        Ok(_) => Some(Word::Stop),
+        // A wait for signals that fails, or is interrupted, tells nothing: the next one tells what has come.
+        Err(why) => {
+            tracing::warn!(%why, "a wait for signals failed");
+            None
+        }
+    }));
     let listeners = serve::Listeners { clients: listener, metrics, console };
     serve::run_in_fleet(config, listeners, fleet, words).map_err(|e| e.to_string())?;
     tracing::info!("stopped, all answered");
