--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -104,9 +104,10 @@
         self.targets.len()
     }
 
-    /// Listed targets that get nothing new: taken out by hand, or leaving by the list's word.
+    /// Listed targets that get nothing new: taken out by hand, leaving by the list's word, or all while the list may not be
+    /// used.
     pub fn out_of_rotation(&self) -> usize {
-        self.targets.len() - self.that_take_work()
+        if self.suspended { self.targets.len() } else { self.targets.len() - self.that_take_work() }
     }
 
     /// The targets taken out by hand, listed or not.
--- a/crates/lab/src/soak/clients.rs
+++ b/crates/lab/src/soak/clients.rs
@@ -182,6 +182,7 @@
             end: RequestEnd::NotTaken,
             ended: Duration::ZERO,
             on_kept_connection,
+            fault: None,
         };
         let leave = self.leave.listen();
         let written = connection.stream.write_all(text.as_bytes()).await;
@@ -196,9 +197,10 @@
             match answered.await {
                 Ok(Some((_, status, body, keep))) => {
                     let genuine = body == body_for(&path).as_bytes();
-                    (RequestEnd::Answered { status, genuine }, keep)
+                    (RequestEnd::Answered { status, genuine }, keep, None)
                 }
-                _ => (RequestEnd::Broken, false),
+                Ok(None) => (RequestEnd::Broken, false, Some("an interim answer".to_owned())),
+                Err(fault) => (RequestEnd::Broken, false, Some(fault.to_string())),
             }
         };
         let leaves = async {
@@ -209,20 +211,20 @@
                 }
             };
             future::or(early, leave).await;
-            (RequestEnd::Left, false)
+            (RequestEnd::Left, false, None)
         };
         let gives_up = async {
             Timer::after(patience + WAITS_ON).await;
-            (RequestEnd::Unanswered, false)
+            (RequestEnd::Unanswered, false, None)
         };
-        let (end, keep) = future::or(answer, future::or(leaves, gives_up)).await;
+        let (end, keep, fault) = future::or(answer, future::or(leaves, gives_up)).await;
         if end == RequestEnd::Left {
             drop(connection);
         } else if keep && connection.buffer.is_empty() && self.kept.borrow().len() < KEPT_LIMIT {
             self.kept.borrow_mut().push(connection);
         }
         request.ended = self.began.elapsed();
-        request.end = end;
+        (request.end, request.fault) = (end, fault);
         request
     }
 
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -165,8 +165,9 @@
                 RequestEnd::Left | RequestEnd::NotTaken => false,
             };
             if lost {
-                let invariant = Invariant::Answered;
-                breaches.push(Breach { invariant, at: request.ended, what: request.to_string() });
+                let attempts = self.attempts.get(request.id.as_str()).map_or(0, Vec::len);
+                let what = format!("{request}, {attempts} attempts");
+                breaches.push(Breach { invariant: Invariant::Answered, at: request.ended, what });
             }
             if matches!(request.end, RequestEnd::Answered { status: 200, genuine: false }) {
                 let invariant = Invariant::Genuine;
--- a/crates/lab/src/soak/records.rs
+++ b/crates/lab/src/soak/records.rs
@@ -58,6 +58,8 @@
     pub ended: Moment,
     /// Whether its connection had carried an answer before.
     pub on_kept_connection: bool,
+    /// What was wrong with its answer, where it ended broken.
+    pub fault: Option<String>,
 }
 
 /// One attempt, as an endpoint saw it.
@@ -224,10 +226,12 @@
 impl fmt::Display for Request {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (sent, ended) = (self.sent.as_secs_f64(), self.ended.as_secs_f64());
+        let kept = if self.on_kept_connection { "kept" } else { "new" };
         write!(
             f,
-            "{sent:.3} {} {:?} waits {:?}: {:?} at {ended:.3}",
+            "{sent:.3} {} {:?} on a {kept} connection, waits {:?}: {:?} at {ended:.3}",
             self.id, self.effect, self.patience, self.end
-        )
+        )?;
+        self.fault.as_ref().map_or(Ok(()), |fault| write!(f, " ({fault})"))
     }
 }
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -124,16 +124,14 @@
     let clients =
         Clients::new(sidecar.clone(), servers.clone(), platform, executor.clone(), bounds(&config).0);
     let accept = executor.spawn(clients.clone().accept(Async::new(listener)?));
-    let succession = config.state.as_deref().map(Succession::new);
-    if succession.as_ref().is_some_and(Succession::beside_another) {
+    let succession = config.state.as_deref().map(Succession::new).map(Rc::new);
+    if succession.as_ref().is_some_and(|succession| succession.beside_another()) {
         // An upgrade: the older process has watched discovery all along, and its news holds for this one
         // soon after this one is ready. The whole list is asked for at once, not at a spread-out time.
         tracing::info!("started beside an older process: discovery is asked at once");
         let _ = moves.try_send(place(&config));
     }
-    if let Some(Err(e)) = succession.as_ref().map(Succession::announce) {
-        tracing::warn!(%e, "a newer process beside this one could not be announced");
-    }
+    let _announce = succession.clone().map(|succession| executor.spawn(announce(succession)));
 
     let stopping = Rc::new(Cell::new(false));
     let out = Rc::new(TakenOut::load(config.state.as_deref()));
@@ -203,7 +201,7 @@
     fleet.iter().for_each(|fleet| fleet.tell(Command::Leave));
 
     let stop = clients.stop();
-    let followed = || succession.as_ref().is_some_and(Succession::followed);
+    let followed = || succession.as_ref().is_some_and(|succession| succession.followed());
     let now = || clock.now();
     // Nobody else may be there for this process's clients: it serves on for as long as it may.
     while !followed() && !stop.is_over(now(), clients.open()) && now() < stop.gives_back_at() {
@@ -240,6 +238,14 @@
     Ok(())
 }
 
+/// Announces this process to the older one beside it, again until the disk takes it.
+async fn announce(succession: Rc<Succession>) {
+    while let Err(why) = succession.announce() {
+        tracing::warn!(%why, "a newer process beside the older one could not be announced yet");
+        Timer::after(FOLLOW_EVERY).await;
+    }
+}
+
 /// What the pool of connections to targets goes by.
 fn terms(config: &Config) -> Terms {
     let platform = &config.platform;
--- a/crates/program/src/state.rs
+++ b/crates/program/src/state.rs
@@ -2,15 +2,30 @@
 
 use async_channel::{Receiver, Sender};
 use std::cell::Cell;
-use std::io;
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
-/// Writes a file whole to a name beside it, then puts it in place: a reader sees the old text or the new.
+/// What could not be written is written again after this pause, doubled up to the longest: a full or failing disk may
+/// recover, and what was taken on is still owed.
+const AGAIN_FIRST: Duration = Duration::from_millis(50);
+const AGAIN_MOST: Duration = Duration::from_millis(500);
+
+/// Writes a file whole to a name beside it, syncs it, then puts it in place: a reader sees the old text or the new, also
+/// after a kill in the middle.
 pub fn write_whole(file: &Path, text: &str) -> io::Result<()> {
     let beside = beside(file);
-    std::fs::write(&beside, text)?;
+    let written = std::fs::File::create(&beside).and_then(|mut new| {
+        new.write_all(text.as_bytes())?;
+        new.sync_all()
+    });
+    if let Err(why) = written {
+        // A half-written one would only take room.
+        let _ = std::fs::remove_file(&beside);
+        return Err(why);
+    }
     std::fs::rename(&beside, file)
 }
 
@@ -30,10 +45,10 @@
     waiting: Receiver<Text>,
     /// Whether the thread runs, as it does from the first text on.
     runs: Cell<bool>,
-    /// The number of the newest text, and of the newest one written (or given up).
+    /// The number of the newest text, and of the newest one written.
     newest: Cell<u64>,
     written: Arc<AtomicU64>,
-    /// The thread's word that it has written one more (or given it up).
+    /// The thread's word that it has written one more.
     one_more: (Sender<()>, Receiver<()>),
 }
 
@@ -50,7 +65,7 @@
         &self.file
     }
 
-    /// Has the text written soon; what cannot be written is logged.
+    /// Has the text written soon; what cannot be written is logged, and written again until it can or a newer text comes.
     pub fn write(&self, text: String) {
         let number = self.newest.get() + 1;
         self.newest.set(number);
@@ -61,10 +76,8 @@
         let (file, texts, written) = (self.file.clone(), self.waiting.clone(), self.written.clone());
         let one_more = self.one_more.0.clone();
         std::thread::spawn(move || {
-            while let Ok((number, text)) = texts.recv_blocking() {
-                if let Err(e) = write_whole(&file, &text) {
-                    tracing::warn!(file = %file.display(), %e, "not kept for the next start");
-                }
+            while let Ok(text) = texts.recv_blocking() {
+                let number = write_until_written(&file, text, &texts);
                 written.store(number, Ordering::Release);
                 let _ = one_more.try_send(());
             }
@@ -84,6 +97,23 @@
     }
 }
 
+/// Writes a text, or a newer one that comes meanwhile, until it is written; its number. Ends without once nobody is left
+/// to write for.
+fn write_until_written(file: &Path, (mut number, mut text): Text, newer: &Receiver<Text>) -> u64 {
+    let mut pause = AGAIN_FIRST;
+    while let Err(why) = write_whole(file, &text) {
+        tracing::warn!(file = %file.display(), %why, ?pause, "not kept for the next start yet");
+        std::thread::sleep(pause);
+        pause = (pause * 2).min(AGAIN_MOST);
+        if let Ok((newer_number, newer_text)) = newer.try_recv() {
+            (number, text) = (newer_number, newer_text);
+        } else if newer.is_closed() {
+            break;
+        }
+    }
+    number
+}
+
 impl Drop for Writer {
     fn drop(&mut self) {
         self.texts.close();
@@ -115,4 +145,25 @@
         let last = if read == "third" { read } else { std::fs::read_to_string(&file).expect("a file") };
         assert_eq!(last, "third");
     }
+
+    /// Guards against: what the console said yes to forgotten where the disk fails for a while, and told as kept meanwhile.
+    /// The disk is a folder that is not there at first.
+    #[test]
+    fn a_disk_that_fails_is_written_to_again_until_it_takes_the_newest_text() {
+        let dir = tempfile::tempdir().expect("a directory");
+        let folder = dir.path().join("later");
+        let writer = Writer::new(folder.join("kept.json"));
+        writer.write("first".to_owned());
+        std::thread::sleep(AGAIN_FIRST * 2);
+        writer.write("second".to_owned());
+        assert!(writer.is_behind());
+        std::fs::create_dir(&folder).expect("a folder");
+        async_io::block_on(writer.caught_up());
+        assert_eq!(std::fs::read_to_string(writer.file()).expect("a file"), "second");
+        assert_eq!(
+            std::fs::read_dir(&folder).expect("a folder").count(),
+            1,
+            "nothing half-written is left"
+        );
+    }
 }
--- a/crates/program/src/taken_out.rs
+++ b/crates/program/src/taken_out.rs
@@ -4,19 +4,37 @@
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
+use std::os::unix::fs::MetadataExt;
 use std::path::Path;
+use std::time::SystemTime;
 
 /// The file, under the state directory, that names the endpoints taken out by hand.
 pub const OUT_FILE: &str = "cottonpoint-out.json";
 /// Endpoints kept out at most: a call past that is refused, not forgotten.
 pub const OUT_LIMIT: usize = 4096;
 
+/// Tells one version of the file from another: each is a file of its own, put in the place of the one before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct FileVersion {
+    inode: u64,
+    length: u64,
+    modified: SystemTime,
+}
+
+impl FileVersion {
+    fn of(file: &Path) -> Option<FileVersion> {
+        let metadata = std::fs::metadata(file).ok()?;
+        let modified = metadata.modified().ok()?;
+        Some(FileVersion { inode: metadata.ino(), length: metadata.len(), modified })
+    }
+}
+
 /// The endpoints taken out by hand, by name, and where they are kept.
 pub struct TakenOut {
     names: RefCell<BTreeSet<String>>,
     file: Option<Writer>,
-    /// When the file was last read.
-    seen: Cell<Option<std::time::SystemTime>>,
+    /// Which file was last read whole. Its time alone may be that of another one: the wall clock may be stepped.
+    seen: Cell<Option<FileVersion>>,
 }
 
 impl TakenOut {
@@ -24,7 +42,12 @@
     pub fn load(state: Option<&Path>) -> TakenOut {
         let file = state.map(|dir| Writer::new(dir.join(OUT_FILE)));
         let text = file.as_ref().and_then(|f| std::fs::read_to_string(f.file()).ok());
-        let names: BTreeSet<String> = text.and_then(|t| serde_json::from_str(&t).ok()).unwrap_or_default();
+        let names = text.map(|text| serde_json::from_str::<BTreeSet<String>>(&text)).transpose();
+        let names = names.unwrap_or_else(|why| {
+            tracing::error!(file = OUT_FILE, %why, "endpoints out by hand cannot be read: none is taken out");
+            None
+        });
+        let names = names.unwrap_or_default();
         TakenOut { names: names.into(), file, seen: Cell::new(None) }
     }
 
@@ -36,12 +59,13 @@
             return None; // What it says is older than what the console was told here.
         }
         // Read again only when written since: this is asked five times a second.
-        let modified = std::fs::metadata(writer.file()).and_then(|m| m.modified()).ok();
-        if modified.is_some() && self.seen.replace(modified) == modified {
+        let version = FileVersion::of(writer.file());
+        if version.is_some() && self.seen.get() == version {
             return None;
         }
         let text = std::fs::read_to_string(writer.file()).ok()?;
         let names: BTreeSet<String> = serde_json::from_str(&text).ok()?;
+        self.seen.set(version);
         let mut held = self.names.borrow_mut();
         if *held == names {
             return None;
--- a/crates/shim/src/lib.rs
+++ b/crates/shim/src/lib.rs
@@ -108,7 +108,9 @@
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn send(fd: c_int, buffer: *const c_void, length: size_t, flags: c_int) -> ssize_t {
     type Send = unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t;
-    let length = match faults().map(|faults| transfer(faults, fd, length)) {
+    // What one part of a process tells another, as a signal's handler does, does not wait and is not interrupted.
+    let on_tcp = faults().filter(|faults| faults.transfer_per_mille > 0 && is_tcp(fd));
+    let length = match on_tcp.map(|faults| transfer(faults, fd, length)) {
         Some(Transfer::Fails(code)) => return fails(code),
         Some(Transfer::AtMost(length)) => length,
         None => length,
