Only an answer renews a lease on the list that has run out; first polls wait 1 s

Now only an answer renews a lease that has run out. So that one comes soon, the first poll of a process, of a reload and after a failure waits 1 s in place of 10 s and has 2.9 s more for its answer through a full queue; the watch goes on from it.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -9,7 +9,7 @@
 //! | --- | --- |
 //! | the list was complete at some time | 6 s after that time (at once, where an agent pushes it) |
 //! | discovery could not be reached at some time | 6 s after that time: the clock runs from its return |
-//! | a watch is open for longer than a poll may stand in a queue, or was given up as silent then | 2 s after its wait |
+//! | a watch is open for longer than a poll may stand in a queue, asked for while the lease held | 2 s after its wait |
 //! | an open watch broke | 6 s after that, and no later than 2 s after its wait |
 //! | a reload named another discovery | 4 s after the reload at most |
 //! | no watch is open, and nothing was asked for some time | as the settings' `ask_within` says, four times it after a failure |
@@ -155,7 +155,7 @@
 
     /// Until when the list may be used, as it stands now. The time that a process may be held up is taken off.
     pub fn expires_at(&self, now: Time) -> Time {
-        self.due(now) + self.grace.saturating_sub(HELD_UP)
+        self.due(now) + self.usable_grace()
     }
 
     /// Whether something new may be sent on the list held.
@@ -218,15 +218,22 @@
         self.reload_due.map_or(due, |reload| due.min(reload))
     }
 
-    /// The watch that discovery is known to hold open.
+    /// The watch that discovery is taken to hold open.
     fn established_watch(&self, now: Time) -> Option<Poll> {
         self.poll.filter(|_| self.established_at().is_some_and(|at| at <= now))
     }
 
-    /// From when on the poll under way is known to be such a watch. An agent has no queue.
+    /// From when on the poll under way is taken for such a watch. An agent has no queue. Once the lease has run out only an
+    /// answer renews it: what counts as told stays told, and a silent discovery answers no watch.
     fn established_at(&self) -> Option<Time> {
         let queues_for = if self.is_pushed() { Duration::ZERO } else { ESTABLISHED_AFTER };
-        self.poll.and_then(|poll| poll.established_at(queues_for))
+        let runs_out = self.due + self.usable_grace();
+        self.poll.and_then(|poll| poll.established_at(queues_for)).filter(|at| *at < runs_out)
+    }
+
+    /// The grace without the time that a process may be held up.
+    fn usable_grace(&self) -> Duration {
+        self.grace.saturating_sub(HELD_UP)
     }
 
     /// When a change counts as told to a process that has no watch and does not ask.
--- a/crates/net/src/list/schedule.rs
+++ b/crates/net/src/list/schedule.rs
@@ -10,7 +10,7 @@
 //! that discovery turned away (it is alive and busy, or about to be), and falls back after a prompt answer.
 //!
 //! *A recovery costs one poll.* After a poll that ended with an explicit failure the next one is a watch: it brings what
-//! was missed at once, and stays open. Only where nothing was heard at all (silence, no connection) the next poll does
+//! was missed at once, or confirms the list after `CONFIRMING_HOLD`, and the watch goes on from there. Only where nothing was heard at all (silence, no connection) the next poll does
 //! not wait, so that a machine that has vanished is found out soon.
 //!
 //! *A sidecar polls once in the time that the deadline leaves.* The first poll after a watch broke is drawn over the
@@ -41,9 +41,9 @@
 /// How long a poll may wait before discovery answers it all the same: polls are priced over the whole fleet, and a
 /// sidecar without news makes one in so long. At a shorter hold news missed in a silence would be had sooner.
 const HOLD: Duration = Duration::from_secs(10);
-/// The same for the first poll after a reload: an answer of a discovery with other versions than those of the list held
-/// shows it, and comes well within the time in which news is due.
-const MOVED_HOLD: Duration = Duration::from_secs(1);
+/// The same where the list held is to be confirmed: the answer that does so comes well within the time in which news is due,
+/// and the watch goes on from it at no cost. After a reload it shows whether the versions there are those of the list held.
+const CONFIRMING_HOLD: Duration = Duration::from_secs(1);
 /// A watch not answered so long after its wait is taken for silent. 1 s is the longest time for which discovery keeps
 /// a poll in its queue (the site files), 0.1 s is for the way.
 const WATCH_GRACE: Duration = Duration::from_millis(1100);
@@ -143,8 +143,8 @@
     pushed: bool,
     /// Whether nothing was heard of the last poll.
     unheard: bool,
-    /// Whether it is still to be seen that discovery's versions are those of the list held.
-    moved: bool,
+    /// Whether the list held is still to be confirmed: at the start, after a reload, and after a poll that failed.
+    unconfirmed: bool,
     /// Polls that came to nothing since the last answer.
     failures: u32,
     /// Doublings of the next pause after a poll that is turned away at the door.
@@ -162,7 +162,7 @@
         let schedule = Schedule {
             pushed,
             unheard: false,
-            moved: false,
+            unconfirmed: true,
             failures: 0,
             door_doublings: 0,
             answer: ANSWER_FIRST,
@@ -173,19 +173,19 @@
     /// A reload names another discovery; `draw` lies in 0..1. What an agent holds counts as told at once.
     pub fn moved(pushed: bool, draw: f64) -> (Schedule, NextPoll) {
         let spread = if pushed { Duration::ZERO } else { RELOAD_SPREAD };
-        (Schedule { moved: true, ..Schedule::new(pushed).0 }, NextPoll::After(spread.mul_f64(draw)))
+        (Schedule::new(pushed).0, NextPoll::After(spread.mul_f64(draw)))
     }
 
     /// A poll is due at once, whatever came before.
     pub fn at_once(pushed: bool) -> (Schedule, NextPoll) {
-        (Schedule { moved: true, ..Schedule::new(pushed).0 }, NextPoll::After(Duration::ZERO))
+        (Schedule::new(pushed).0, NextPoll::After(Duration::ZERO))
     }
 
     /// How long the next poll waits for news: not at all for the whole list, nor after one of which nothing was heard.
     pub fn hold(&self, whole: bool) -> Duration {
-        match self.moved {
+        match self.unconfirmed {
             _ if whole || self.unheard => Duration::ZERO,
-            true => MOVED_HOLD,
+            true => CONFIRMING_HOLD,
             false => HOLD,
         }
     }
@@ -198,7 +198,12 @@
     /// How long the answer to a poll that waits so long may take, from its sending to its last byte, if it took so long
     /// to connect. The wait begins with the sending; a poll that does not wait has one bound for both.
     pub fn answer_timeout(&self, hold: Duration, connected_after: Duration) -> Duration {
-        if hold.is_zero() { self.answer.saturating_sub(connected_after) } else { hold + WATCH_GRACE }
+        match hold {
+            Duration::ZERO => self.answer.saturating_sub(connected_after),
+            // It may stand in a full queue before its wait begins.
+            CONFIRMING_HOLD => hold + ANSWER_MOST,
+            _ => hold + WATCH_GRACE,
+        }
     }
 
     /// What comes after a poll that took so long and ended so, where the list may still be used for that time; `draw` lies
@@ -208,7 +213,7 @@
         self.learn_answer_time(outcome, took);
         let pause = match outcome {
             Outcome::Answered { early } => {
-                (self.failures, self.moved) = (0, false);
+                (self.failures, self.unconfirmed) = (0, false);
                 self.door_doublings = self.door_doublings.saturating_sub(1);
                 return NextPoll::After(early_pause(early, draw).saturating_sub(took));
             }
@@ -220,6 +225,7 @@
             _ => interval_pause(self.failures, took, spread(lease_left), draw),
         };
         self.failures = self.failures.saturating_add(1);
+        self.unconfirmed = true;
         NextPoll::After(pause)
     }
 
