--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -20,6 +20,7 @@
 use std::net::TcpListener;
 use std::path::Path;
 use std::rc::Rc;
+use std::thread;
 use std::time::Duration;
 
 /// Beside a newer process, connections between requests are closed this long after the word to stop: what
@@ -124,14 +125,14 @@
     let clients =
         Clients::new(sidecar.clone(), servers.clone(), platform, executor.clone(), bounds(&config).0);
     let accept = executor.spawn(clients.clone().accept(Async::new(listener)?));
-    let succession = config.state.as_deref().map(Succession::new).map(Rc::new);
+    let succession = config.state.as_deref().map(Succession::new);
     if succession.as_ref().is_some_and(|succession| succession.beside_another()) {
         // An upgrade: the older process has watched discovery all along, and its news holds for this one
         // soon after this one is ready. The whole list is asked for at once, not at a spread-out time.
         tracing::info!("started beside an older process: discovery is asked at once");
         let _ = moves.try_send(place(&config));
     }
-    let _announce = succession.clone().map(|succession| executor.spawn(announce(succession)));
+    succession.iter().for_each(|succession| announce(succession.clone()));
 
     let stopping = Rc::new(Cell::new(false));
     let out = Rc::new(TakenOut::load(config.state.as_deref()));
@@ -238,12 +239,15 @@
     Ok(())
 }
 
-/// Announces this process to the older one beside it, again until the disk takes it.
-async fn announce(succession: Rc<Succession>) {
-    while let Err(why) = succession.announce() {
-        tracing::warn!(%why, "a newer process beside the older one could not be announced yet");
-        Timer::after(FOLLOW_EVERY).await;
-    }
+/// Announces this process to the older one beside it, again until the disk takes it: on a thread of its own, since the disk may
+/// take seconds and clients come from the first moment. The thread ends then, or with the process.
+fn announce(succession: Succession) {
+    thread::spawn(move || {
+        while let Err(why) = succession.announce() {
+            tracing::warn!(%why, "a newer process beside the older one could not be announced yet");
+            thread::sleep(FOLLOW_EVERY);
+        }
+    });
 }
 
 /// What the pool of connections to targets goes by.
@@ -289,6 +293,7 @@
 /// Processes of the sidecar that follow one another on the same clients' address, as the state directory
 /// tells: each announces itself once it listens, so that an older one, told to stop, knows that a newer one
 /// takes the clients (an upgrade) rather than nobody (a restart).
+#[derive(Clone, Debug)]
 pub struct Succession {
     file: std::path::PathBuf,
 }
