--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -296,6 +296,8 @@
 #[derive(Clone, Debug)]
 pub struct Succession {
     file: std::path::PathBuf,
+    /// What the file said when this process started.
+    before: Option<String>,
 }
 
 impl Succession {
@@ -304,12 +306,16 @@
 
     /// Announcements in that directory.
     pub fn new(state: &std::path::Path) -> Succession {
-        Succession { file: state.join(Self::FILE) }
+        let file = state.join(Self::FILE);
+        let before = std::fs::read_to_string(&file).ok();
+        Succession { file, before }
     }
 
-    /// This process is the newest from now on.
+    /// This process is the newest from now on, unless another one has announced itself since this one started: the disk may
+    /// take its time.
     pub fn announce(&self) -> io::Result<()> {
-        crate::state::write_whole(&self.file, &std::process::id().to_string())
+        let unchanged = || std::fs::read_to_string(&self.file).ok() == self.before;
+        crate::state::write_whole_if(&self.file, &std::process::id().to_string(), unchanged).map(drop)
     }
 
     /// Whether another process of the sidecar has announced itself and still runs.
--- a/crates/program/src/state.rs
+++ b/crates/program/src/state.rs
@@ -16,6 +16,11 @@
 /// Writes a file whole to a name beside it, syncs it, then puts it in place: a reader sees the old text or the new, also
 /// after a kill in the middle.
 pub fn write_whole(file: &Path, text: &str) -> io::Result<()> {
+    write_whole_if(file, text, || true).map(drop)
+}
+
+/// The same, put in place only if that still holds right before; whether it was.
+pub fn write_whole_if(file: &Path, text: &str, still: impl FnOnce() -> bool) -> io::Result<bool> {
     let beside = beside(file);
     let written = std::fs::File::create(&beside).and_then(|mut new| {
         new.write_all(text.as_bytes())?;
@@ -26,7 +31,11 @@
         let _ = std::fs::remove_file(&beside);
         return Err(why);
     }
-    std::fs::rename(&beside, file)
+    if !still() {
+        let _ = std::fs::remove_file(&beside);
+        return Ok(false);
+    }
+    std::fs::rename(&beside, file).map(|()| true)
 }
 
 fn beside(file: &Path) -> PathBuf {
--- a/crates/program/tests/succession.rs
+++ b/crates/program/tests/succession.rs
@@ -34,3 +34,14 @@
     assert_eq!(address, same);
     drop((first, second));
 }
+
+/// Guards against: an announcement that the disk delays put in the place of a newer process's, so that this one would keep
+/// the clients' connections and the newer one take itself for followed (seen in stop::beside_a_newer_process...).
+#[test]
+fn a_late_announcement_does_not_hide_a_newer_process() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let succession = Succession::new(dir.path());
+    written(dir.path(), 1);
+    succession.announce().expect("the disk takes it");
+    assert!(succession.followed());
+}
