Tests: no child process is forked while a story closes connections that must end at once

Cause, traced: another test of the same process was starting a child. Between fork and exec the child holds copies of all descriptors, so the clients' closes went out only after the word to send; the sidecar had connected for a client that seemed to wait, saw it gone before the first byte, and kept the connection, which the story read first.

Children are started, and connections closed in `meanwhile`, one at a time; `message` reads on after EINTR. No check changed.

--- a/crates/program/tests/sidecar/life.rs
+++ b/crates/program/tests/sidecar/life.rs
@@ -1,10 +1,10 @@
 //! A process's life: ready once it has a list, and the word to stop.
 
 use crate::peers::*;
+use crate::program::make_pipe;
 use cottonpoint::serve::Succession;
 use insta::assert_snapshot;
 use std::path::Path;
-use std::process::Command;
 
 /// Guards against: a sidecar that starts without a list and never asks for one (the balancer's first timer was
 /// set only with its first event), readiness before the list is there, and answers lost at a planned stop.
@@ -49,8 +49,7 @@
 fn a_disk_that_hangs_at_the_start_holds_up_no_client() {
     let state = tempfile::tempdir().expect("a directory");
     let announcement = Path::new(Succession::FILE).with_extension(format!("{}.new", std::process::id()));
-    let made = Command::new("mkfifo").arg(state.path().join(announcement)).status().expect("mkfifo runs");
-    assert!(made.success());
+    make_pipe(&state.path().join(announcement));
     let (target, discovery) = (Peer::new(), Peer::new());
     let known = list(1, true, &[line("t0", target.address, "active")]);
     let (sidecar, _) = Running::with_console(&config(discovery.address, &known, 1024), Some(state.path()));
--- a/crates/program/tests/sidecar/peers.rs
+++ b/crates/program/tests/sidecar/peers.rs
@@ -45,6 +45,7 @@
         match stream.read(&mut byte) {
             Ok(1) => bytes.push(byte[0]),
             Ok(_) => break,
+            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => continue,
             Err(e) => {
                 assert_eq!(e.kind(), std::io::ErrorKind::ConnectionReset, "it did not come in time");
                 break;
--- a/crates/program/tests/sidecar/program.rs
+++ b/crates/program/tests/sidecar/program.rs
@@ -4,7 +4,29 @@
 use rustix::process::{Pid, Signal, WaitOptions, kill_process, waitpid};
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Held while a child process is started, and while connections end whose end has to be seen at once. Between fork and
+/// exec a child holds a copy of every descriptor, so that what is closed meanwhile ends only with its exec.
+static DESCRIPTORS_COPIED: Mutex<()> = Mutex::new(());
+
+fn no_descriptors_copied() -> MutexGuard<'static, ()> {
+    DESCRIPTORS_COPIED.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Starts a child process; it has executed its program when this returns.
+fn start_child(command: &mut Command) -> Child {
+    let _copied = no_descriptors_copied();
+    command.spawn().expect("the program starts")
+}
+
+/// Makes a named pipe.
+pub fn make_pipe(path: &Path) {
+    let made = start_child(Command::new("mkfifo").arg(path)).wait().expect("mkfifo runs");
+    assert!(made.success());
+}
 
 /// A configuration under which attempts, and connections that do not come up, last until shortly before the time left
 /// of a request of `LOOK`'s kind is over.
@@ -27,14 +49,14 @@
         let dir = tempfile::tempdir().expect("a directory");
         let file = dir.path().join("config.json");
         std::fs::write(&file, config.replacen('{', r#"{"console":"127.0.0.1:0","#, 1)).expect("a file");
-        let mut child = Command::new("sh")
-            .args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\" serve --config \"$1\"")])
-            .arg(env!("CARGO_BIN_EXE_cottonpoint"))
-            .arg(&file)
-            .env_remove("TMPDIR")
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
+        let mut child = start_child(
+            Command::new("sh")
+                .args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\" serve --config \"$1\"")])
+                .arg(env!("CARGO_BIN_EXE_cottonpoint"))
+                .arg(&file)
+                .env_remove("TMPDIR")
+                .stderr(Stdio::piped()),
+        );
         let mut log = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
         let mut listens = log.by_ref().filter_map(|line| {
             line.split_once("listen=").map(|(_, at)| at.parse::<SocketAddr>().expect("an address"))
@@ -45,8 +67,9 @@
         Program { child, address, console }
     }
 
-    /// Holds it still while something happens: what comes meanwhile comes to it in one turn.
+    /// Holds it still while something happens: what comes meanwhile comes to it in one turn, closes as well.
     pub fn meanwhile<T>(&self, happens: impl FnOnce() -> T) -> T {
+        let _closes_at_once = no_descriptors_copied();
         let pid = Pid::from_child(&self.child);
         kill_process(pid, Signal::STOP).expect("a process");
         waitpid(Some(pid), WaitOptions::UNTRACED).expect("it stands still");
--- a/crates/program/tests/sidecar/stop.rs
+++ b/crates/program/tests/sidecar/stop.rs
@@ -1,6 +1,7 @@
 //! After the word to stop: who is still served, who is turned away, and what is waited for at the end.
 
 use crate::peers::*;
+use crate::program::make_pipe;
 use cottonpoint::config::Config;
 use cottonpoint::serve::{self, Word};
 use cottonpoint::taken_out::OUT_FILE;
@@ -184,7 +185,7 @@
 /// somebody reads it. It has been told to take `t0` out and then `t1`, and to stop; yields its end.
 fn stopping_on_a_hung_disk(state: &Path) -> (PathBuf, Receiver<()>) {
     let pipe = state.join(OUT_FILE).with_extension(format!("{}.new", std::process::id()));
-    assert!(std::process::Command::new("mkfifo").arg(&pipe).status().expect("mkfifo runs").success());
+    make_pipe(&pipe);
     let (target, discovery) = (Peer::new().address, Peer::new());
     let known = list(1, true, &[line("t0", target, "active"), line("t1", target, "active")]);
     let (sidecar, console) = Running::with_console(&config(discovery.address, &known, 1024), Some(state));
