Soak: connect and socket fail, connections break by ETIMEDOUT, endpoints forget connections

A soak's client that leaves shuts its connection down, so that its close does not wait for a process that is being started.

--- a/crates/lab/src/soak/clients.rs
+++ b/crates/lab/src/soak/clients.rs
@@ -11,7 +11,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -219,7 +219,8 @@
         };
         let (end, keep, fault) = future::or(answer, future::or(leaves, gives_up)).await;
         if end == RequestEnd::Left {
-            drop(connection);
+            // Not by dropping it alone: a process that is being started holds copies of all descriptors for a moment.
+            let _ = connection.stream.get_ref().shutdown(Shutdown::Both);
         } else if keep && connection.buffer.is_empty() && self.kept.borrow().len() < KEPT_LIMIT {
             self.kept.borrow_mut().push(connection);
         }
--- a/crates/lab/src/soak/discovery.rs
+++ b/crates/lab/src/soak/discovery.rs
@@ -292,6 +292,9 @@
         let bytes = [head.as_bytes(), body.as_bytes()].concat();
         let pieces = self.random.borrow_mut().usize(1..5);
         for piece in bytes.chunks(bytes.len() / pieces + 1) {
+            if !is_there(stream) {
+                return Err(io::ErrorKind::BrokenPipe.into());
+            }
             stream.write_all(piece).await?;
             Timer::after(Duration::from_millis(pieces as u64 - 1)).await;
         }
--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -122,6 +122,9 @@
                 return Ok(());
             }
             drop(open);
+            if self.behaviour.get() == Behaviour::ForgetsIdle {
+                return future::pending().await;
+            }
         }
     }
 
--- a/crates/lab/src/soak/member.rs
+++ b/crates/lab/src/soak/member.rs
@@ -111,11 +111,13 @@
     let (files_after, files_for) = shim.files_fail;
     let faults = format!(
         "seed={};clock_step_ms={step};clock_step_after_ms={};accept_per_mille={};transfer_per_mille={};\
-         files_after_ms={};files_for_ms={}",
+         connect_per_mille={};break_per_mille={};files_after_ms={};files_for_ms={}",
         shim.seed,
         step_after.as_millis(),
         shim.accept_fails,
         shim.transfers_fail,
+        shim.connects_fail,
+        shim.connections_break,
         files_after.as_millis(),
         files_for.as_millis()
     );
--- a/crates/shim/src/faults.rs
+++ b/crates/shim/src/faults.rs
@@ -19,6 +19,10 @@
     pub accept_per_mille: u64,
     /// Of a thousand reads and writes on sockets, so many are interrupted or cut short.
     pub transfer_per_mille: u64,
+    /// Of a thousand calls to connect and socket, so many fail once the process serves.
+    pub connect_per_mille: u64,
+    /// Of a thousand reads on connections that the process made, so many find them broken.
+    pub break_per_mille: u64,
     files_after: Duration,
     files_for: Duration,
 }
@@ -60,6 +64,8 @@
             clock_step_after: time("clock_step_after_ms"),
             accept_per_mille: number("accept_per_mille"),
             transfer_per_mille: number("transfer_per_mille"),
+            connect_per_mille: number("connect_per_mille"),
+            break_per_mille: number("break_per_mille"),
             files_after: time("files_after_ms"),
             files_for: time("files_for_ms"),
         }
--- a/crates/shim/src/lib.rs
+++ b/crates/shim/src/lib.rs
@@ -2,18 +2,23 @@
 //! as Linux documents, and the wall clock is stepped. What fails, and how often, stands in `COTTONPOINT_FAULTS`; without it
 //! nothing does. It is never loaded outside tests, and the program does not know of it.
 //!
-//! The event loop's own calls (epoll, connect) do not go through the C library, so they are out of its reach.
+//! The event loop's own calls do not go through the C library. Of these, connect and socket are reached by a filter
+//! ([`traps`]); its waits are interrupted by the stops and signals of a soak.
 
 mod faults;
 mod next;
+mod traps;
 
 use faults::{Faults, faults};
 use libc::{c_char, c_int, c_uint, c_void, mode_t, size_t, sockaddr, socklen_t, ssize_t, timespec};
 use next::next;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Errors that accept may return for a moment.
 const ACCEPT_ERRORS: [c_int; 5] =
     [libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EINTR, libc::EPROTO];
+/// Errors by which a broken connection may show.
+const BROKEN_ERRORS: [c_int; 2] = [libc::ETIMEDOUT, libc::EHOSTUNREACH];
 /// Errors of a full or failing disk.
 const FILE_ERRORS: [c_int; 2] = [libc::ENOSPC, libc::EIO];
 
@@ -50,6 +55,23 @@
     known && stat.st_mode & libc::S_IFMT == libc::S_IFREG
 }
 
+/// Descriptors that were accepted at some time. What a client still waits on is never broken: nobody could answer it.
+static ACCEPTED: [AtomicBool; 4096] = [const { AtomicBool::new(false) }; 4096];
+
+fn was_accepted(fd: c_int) -> bool {
+    usize::try_from(fd)
+        .ok()
+        .and_then(|fd| ACCEPTED.get(fd))
+        .is_none_or(|known| known.load(Ordering::Relaxed))
+}
+
+/// The error by which a connection that this process made breaks at this read, if it does.
+fn breaks(faults: &Faults, fd: c_int) -> Option<c_int> {
+    let draw = faults.draw_per_mille(faults.break_per_mille)?;
+    let made_here = !was_accepted(fd) && is_tcp(fd);
+    made_here.then(|| BROKEN_ERRORS[draw as usize % BROKEN_ERRORS.len()])
+}
+
 /// What becomes of a read or write of that many bytes on a socket.
 enum Transfer {
     Fails(c_int),
@@ -81,11 +103,16 @@
     if let Some(draw) = faults().and_then(|faults| faults.draw_per_mille(faults.accept_per_mille)) {
         return fails(ACCEPT_ERRORS[draw as usize % ACCEPT_ERRORS.len()]) as c_int;
     }
+    traps::serves();
     // SAFETY: the next function of that name has this type.
-    unsafe { next::<Accept4>(c"accept4")(fd, address, length, flags) }
+    let accepted = unsafe { next::<Accept4>(c"accept4")(fd, address, length, flags) };
+    if let Some(known) = usize::try_from(accepted).ok().and_then(|fd| ACCEPTED.get(fd)) {
+        known.store(true, Ordering::Relaxed);
+    }
+    accepted
 }
 
-/// `recv` that is interrupted or cut short.
+/// `recv` that is interrupted or cut short, or finds a connection broken.
 ///
 /// # Safety
 /// As the C library's.
@@ -98,7 +125,15 @@
         None => length,
     };
     // SAFETY: the next function of that name has this type, and the length is no longer than the caller's.
-    unsafe { next::<Recv>(c"recv")(fd, buffer, length, flags) }
+    let received = unsafe { next::<Recv>(c"recv")(fd, buffer, length, flags) };
+    // What has arrived is read before the error of a broken connection shows.
+    if received == -1
+        && std::io::Error::last_os_error().kind() == std::io::ErrorKind::WouldBlock
+        && let Some(code) = faults().and_then(|faults| breaks(faults, fd))
+    {
+        return fails(code);
+    }
+    received
 }
 
 /// `send` that is interrupted or cut short.
