--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -15,9 +15,10 @@
 //! | no watch is open, and nothing was asked for some time | as the settings' `ask_within` says, four times it after a failure |
 //!
 //! A poll that discovery turns away at once shows that it is there, and that it has no room: nothing extends the lease from
-//! then on but an answer or an open watch. One that is turned away after a wait says that discovery is down or overrun, and not which. It is taken for an outage
-//! only as long as nothing has shown that discovery is there, or after an established watch broke, as all do when
-//! discovery goes down. `docs/design/discovery.md` says what this cannot tell apart.
+//! then on but an answer or an open watch. One that is turned away after a wait says that discovery is down or overrun,
+//! and not which. It is taken for an outage only as long as nothing has shown that discovery is there, or after an
+//! established watch broke, as all do when discovery goes down. `docs/design/discovery.md` says what this cannot tell
+//! apart.
 
 use cottonpoint_decide::{Discovery, Time};
 use std::time::Duration;
--- a/crates/lab/src/prove/peers.rs
+++ b/crates/lab/src/prove/peers.rs
@@ -1,5 +1,5 @@
-//! What the membership plane owes (`docs/design/peers.md`), on fleets of 3, 10, 50 and (in full) 500 in virtual time. Each claim
-//! on one of its parts is seen to fail with that part taken out.
+//! What the membership plane owes (`docs/design/peers.md`), on fleets of 3, 10, 50 and (in full) 500 in virtual time.
+//! Each claim on one of its parts is seen to fail with that part taken out.
 
 use super::Claim;
 use crate::fleet::plays::{self, Loss, NEVER, Split, Stopped, T, agreement_bound, bound_nanos};
--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -1,4 +1,5 @@
-//! A stand-in endpoint of a soak: it works for a drawn time on each request, misbehaves as it is told, and notes each attempt.
+//! A stand-in endpoint of a soak: it works for a drawn time on each request, misbehaves as it is told, and notes each
+//! attempt.
 
 use super::discovery::reset;
 use super::plan::Behaviour;
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -127,8 +127,9 @@
 }
 
 impl Watcher {
-    /// Makes one poll after the other, each when its schedule says, until the balancer is gone that subscribes. Where discovery moves to is polled soon: the old place closes its connections, and what the new one
-    /// has to tell counts as told soon.
+    /// Makes one poll after the other, each when its schedule says, until the balancer is gone that subscribes. Where
+    /// discovery moves to is polled soon: the old place closes its connections, and what the new one has to tell counts
+    /// as told soon.
     pub async fn run(mut self, subscribed: Receiver<()>) {
         let (mut last_logged, mut connection) = (LastLogged::default(), None);
         let (mut schedule, mut next) = Schedule::new(self.discovery.pushed);
--- a/crates/net/src/list/schedule.rs
+++ b/crates/net/src/list/schedule.rs
@@ -10,8 +10,9 @@
 //! that discovery turned away (it is alive and busy, or about to be), and falls back after a prompt answer.
 //!
 //! *A recovery costs one poll.* After a poll that ended with an explicit failure the next one is a watch: it brings what
-//! was missed at once, or confirms the list after `CONFIRMING_HOLD`, and the watch goes on from there. Only where nothing was heard at all (silence, no connection) the next poll does
-//! not wait, so that a machine that has vanished is found out soon.
+//! was missed at once, or confirms the list after `CONFIRMING_HOLD`, and the watch goes on from there. Only where
+//! nothing was heard at all (silence, no connection) the next poll does not wait, so that a machine that has vanished
+//! is found out soon.
 //!
 //! *A sidecar polls once in the time that the deadline leaves.* The first poll after a watch broke is drawn over the
 //! whole `INTERVAL`, since the watches of a fleet break together, and later ones follow at that interval with a tenth
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -239,8 +239,8 @@
     Ok(())
 }
 
-/// Announces this process to the older one beside it, again until the disk takes it: on a thread of its own, since the disk may
-/// take seconds and clients come from the first moment. The thread ends then, or with the process.
+/// Announces this process to the older one beside it, again until the disk takes it: on a thread of its own, since the
+/// disk may take seconds and clients come from the first moment. The thread ends then, or with the process.
 fn announce(succession: Succession) {
     thread::spawn(move || {
         while let Err(why) = succession.announce() {
