--- a/crates/mesh/src/lock.rs
+++ b/crates/mesh/src/lock.rs
@@ -22,6 +22,7 @@
 /// A value under a lock with a rank.
 #[derive(Debug)]
 pub struct Ranked<T> {
+    #[cfg_attr(not(debug_assertions), expect(dead_code, reason = "only debug builds check it"))]
     rank: Rank,
     value: Mutex<T>,
 }
