--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -1,4 +1,4 @@
-//! What happens in a run, drawn from its seed ([`draw`]): no I/O. The same seed gives the same plan.
+//! What happens in a run, drawn from its seed (`plan/draw.rs`): no I/O. The same seed gives the same plan.
 
 mod draw;
 
--- a/crates/shim/src/lib.rs
+++ b/crates/shim/src/lib.rs
@@ -3,7 +3,7 @@
 //! nothing does. It is never loaded outside tests, and the program does not know of it.
 //!
 //! The event loop's own calls do not go through the C library. Of these, connect and socket are reached by a filter
-//! ([`traps`]); its waits are interrupted by the stops and signals of a soak.
+//! (`traps.rs`); its waits are interrupted by the stops and signals of a soak.
 
 mod faults;
 mod next;
