--- a/crates/net/src/list/evidence.rs
+++ b/crates/net/src/list/evidence.rs
@@ -5,6 +5,9 @@
 use std::io::{Error, ErrorKind};
 use std::time::Duration;
 
+#[cfg(test)]
+mod tests;
+
 /// How a poll ended whose connection did not come up. Only what the other side, or the way to it, says counts against
 /// discovery: a process that runs out of ports, buffers or descriptors has failed by itself.
 pub(super) fn connect_outcome(why: &Error) -> Outcome {
