--- a/crates/shim/src/faults.rs
+++ b/crates/shim/src/faults.rs
@@ -1,6 +1,7 @@
 //! Which faults are played, and when: read once from the environment.
 
 use std::cell::Cell;
+use std::ffi::CString;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -23,6 +24,10 @@
     pub connect_per_mille: u64,
     /// Of a thousand reads on connections that the process made, so many find them broken.
     pub break_per_mille: u64,
+    /// The file that says which error connects to [`Faults::connect_port`] fail with, while it is there.
+    pub connect_error_file: Option<CString>,
+    /// The port of the connects that the file is about.
+    pub connect_port: u64,
     files_after: Duration,
     files_for: Duration,
 }
@@ -55,6 +60,10 @@
                 .find_map(|(_, value)| value.parse::<i128>().ok())
                 .unwrap_or(0)
         };
+        let words = |name: &str| {
+            let mut pairs = text.split(';').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).and_then(|(_, value)| CString::new(value).ok())
+        };
         let number = |name: &str| u64::try_from(figure(name)).unwrap_or(0);
         let time = |name: &str| Duration::from_millis(number(name));
         Faults {
@@ -66,11 +75,18 @@
             transfer_per_mille: number("transfer_per_mille"),
             connect_per_mille: number("connect_per_mille"),
             break_per_mille: number("break_per_mille"),
+            connect_error_file: words("connect_error_file"),
+            connect_port: number("connect_port"),
             files_after: time("files_after_ms"),
             files_for: time("files_for_ms"),
         }
     }
 
+    /// Whether calls to connect and socket may fail.
+    pub(crate) fn connects_fail(&self) -> bool {
+        self.connect_per_mille > 0 || self.connect_error_file.is_some()
+    }
+
     /// The next draw of this process (SplitMix64).
     pub(crate) fn draw(&self) -> u64 {
         let state = self.state.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
--- a/crates/shim/src/traps.rs
+++ b/crates/shim/src/traps.rs
@@ -2,7 +2,8 @@
 //! hands connect and socket to a signal's handler, which lets them fail for a moment or makes them itself.
 
 use crate::faults::{Faults, faults};
-use libc::{c_int, c_long, c_void, siginfo_t, sock_filter, sock_fprog, ucontext_t};
+use libc::{c_int, c_long, c_void, siginfo_t, sock_filter, sock_fprog, sockaddr_in, ucontext_t};
+use std::ffi::CStr;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 /// What the handler passes as the sixth argument, which neither call has: the filter lets the call through.
@@ -30,7 +31,7 @@
 static INSTALL: extern "C" fn() = install;
 
 extern "C" fn install() {
-    if faults().is_some_and(|faults| faults.connect_per_mille > 0) && !(take_traps() && filter_calls()) {
+    if faults().is_some_and(Faults::connects_fail) && !(take_traps() && filter_calls()) {
         // A run without its faults would show nothing.
         std::process::abort();
     }
@@ -70,7 +71,14 @@
 }
 
 /// The error with which such a call fails now, if it does.
-fn error(faults: &Faults, number: c_long) -> Option<c_int> {
+fn error(faults: &Faults, number: c_long, registers: &[i64]) -> Option<c_int> {
+    if number == libc::SYS_connect
+        && let Some(file) = &faults.connect_error_file
+        && port(registers) == Some(faults.connect_port)
+        && let Some(code) = error_by_file(file)
+    {
+        return Some(code);
+    }
     if !SERVES.load(Ordering::Relaxed) {
         return None;
     }
@@ -81,11 +89,46 @@
     })
 }
 
+/// The port that a trapped call to connect names.
+fn port(registers: &[i64]) -> Option<u64> {
+    let [address, length] = [libc::REG_RSI, libc::REG_RDX].map(|register| registers[register as usize]);
+    if usize::try_from(length).ok()? < size_of::<sockaddr_in>() {
+        return None;
+    }
+    // SAFETY: the caller names an address of at least that length.
+    let address = unsafe { (address as *const sockaddr_in).read_unaligned() };
+    (c_int::from(address.sin_family) == libc::AF_INET).then(|| u64::from(u16::from_be(address.sin_port)))
+}
+
+/// The error that the file names by its number. Where `once` follows, the file is removed: the next call does not fail.
+fn error_by_file(file: &CStr) -> Option<c_int> {
+    let mut text = [0_u8; 16];
+    // SAFETY: the path ends with a zero, and no more is read than the text holds. All three calls may be made by a
+    // signal's handler.
+    let read = unsafe {
+        let fd = libc::open(file.as_ptr(), libc::O_RDONLY | libc::O_CLOEXEC);
+        if fd == -1 {
+            return None;
+        }
+        let read = libc::read(fd, text.as_mut_ptr().cast(), text.len());
+        libc::close(fd);
+        read
+    };
+    let text = std::str::from_utf8(&text[..usize::try_from(read).ok()?]).ok()?;
+    let mut words = text.split_ascii_whitespace();
+    let code = words.next()?.parse().ok()?;
+    if words.next() == Some("once") {
+        // SAFETY: the path ends with a zero; a signal's handler may make this call.
+        unsafe { libc::unlink(file.as_ptr()) };
+    }
+    Some(code)
+}
+
 extern "C" fn trapped(_signal: c_int, _info: *mut siginfo_t, context: *mut c_void) {
     // SAFETY: the kernel hands a handler of this kind the context of the call that was trapped.
     let registers = unsafe { &mut (*context.cast::<ucontext_t>()).uc_mcontext.gregs };
     let number = registers[libc::REG_RAX as usize];
-    registers[libc::REG_RAX as usize] = match faults().and_then(|faults| error(faults, number)) {
+    registers[libc::REG_RAX as usize] = match faults().and_then(|faults| error(faults, number, registers)) {
         Some(code) => -i64::from(code),
         None => call(number, registers),
     };
--- a/crates/shim/tests/connect.rs
+++ b/crates/shim/tests/connect.rs
@@ -63,3 +63,31 @@
     }
     assert_eq!(connect_while_serving(), None);
 }
+
+/// Guards against: a connect that does not fail at the moment that a test chose, or that fails elsewhere or later too.
+#[test]
+fn a_connect_fails_by_the_file_and_to_the_port_that_a_test_names() {
+    const NAME: &str = "a_connect_fails_by_the_file_and_to_the_port_that_a_test_names";
+    if std::env::var_os(PART).is_none() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = folder.path().join("error");
+        let listeners = [(), ()].map(|()| TcpListener::bind("127.0.0.1:0").expect("a port"));
+        let [failing, other] = listeners.each_ref().map(|listener| listener.local_addr().expect("bound"));
+        std::fs::write(&file, format!("{} once", libc::EHOSTUNREACH)).expect("a file");
+        let faults = format!("connect_error_file={};connect_port={}", file.display(), failing.port());
+        let status = Command::new(std::env::current_exe().expect("it runs"))
+            .args(["--exact", NAME])
+            .env("LD_PRELOAD", library())
+            .env("COTTONPOINT_FAULTS", faults)
+            .env(PART, format!("{other} {failing}"))
+            .status();
+        assert!(status.expect("it starts").success());
+        assert!(!file.exists(), "it was for once");
+        return;
+    }
+    let part = std::env::var(PART).expect("this part");
+    let (other, failing) = part.split_once(' ').expect("two addresses");
+    let ends = [other, failing, failing].map(|address| TcpStream::connect(address).err());
+    let codes = ends.map(|end| end.and_then(|failure| failure.raw_os_error()));
+    assert_eq!(codes, [None, Some(libc::EHOSTUNREACH), None]);
+}
