--- a/crates/core/src/guard/tests.rs
+++ b/crates/core/src/guard/tests.rs
@@ -61,3 +61,11 @@
     assert_eq!(guard.may_close_unanswered(true), Err(Violation::ClosedWithoutAnswer));
     assert!(guard.violations().all(|(_, count)| count == 1));
 }
+
+/// Guards against: an endpoint blamed for what this process did not let begin: its own clock, its list or its client.
+#[test]
+fn no_denial_is_evidence_about_an_endpoint() {
+    for denial in Denial::ALL {
+        assert_eq!(denial.outcome(), Outcome::Moot, "{denial:?}");
+    }
+}
--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -16,6 +16,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+#[cfg(test)]
+mod tests;
+
 /// Requests that a warm endpoint serves a second: as many cores as it has, by the mean work of a request.
 pub const CAPACITY_PER_S: f64 = CORES / MEAN_WORK_S;
 const CORES: f64 = 4.0;
--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -4,8 +4,10 @@
 mod clients;
 mod closing;
 mod console;
+mod crossing;
 mod descriptors;
 mod discovery;
+mod embedded;
 mod endpoints;
 mod floods;
 mod forwards;
@@ -13,6 +15,7 @@
 mod late;
 mod life;
 mod list;
+mod local_faults;
 mod peers;
 mod program;
 mod repeats;
--- a/crates/program/tests/sidecar/peers.rs
+++ b/crates/program/tests/sidecar/peers.rs
@@ -90,6 +90,11 @@
         Peer { listener, address }
     }
 
+    /// The same listener, to be waited on elsewhere.
+    pub fn again(&self) -> Peer {
+        Peer { listener: self.listener.try_clone().expect("a descriptor"), address: self.address }
+    }
+
     pub fn accept(&self) -> Came {
         let mut stream = self.next();
         let text = message(&mut stream);
