A watch that goes on after an answer is established at once: an outage is known as one

Cause: a watch counted as established 2.5 s after the first poll of its series, also where a poll of it had been answered. The 503 by which it ended as discovery went down was taken for a crowd's and extended nothing. Mend: a poll that goes on with an answered watch within 200 ms stands in no queue, so it is established when it begins. A 503 after a wait extends the lease as in an outage also where the poll was open for long.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -9,7 +9,7 @@
 //! | --- | --- |
 //! | the list was complete at some time | 6 s after that time (at once, where an agent pushes it) |
 //! | discovery could not be reached at some time | 6 s after that time: the clock runs from its return |
-//! | a watch is open for longer than a poll may stand in a queue, asked for while the lease held | 2 s after its wait |
+//! | a watch is open for longer than a poll may stand in a queue, or goes on at once after an answer, asked for while the lease held | 2 s after its wait |
 //! | an open watch broke | 6 s after that, and no later than 2 s after its wait |
 //! | a reload named another discovery | 4 s after the reload at most |
 //! | no watch is open, and nothing was asked for some time | as the settings' `ask_within` says, four times it after a failure |
@@ -38,6 +38,8 @@
 /// A watch that is open for longer stands in no queue: discovery keeps a poll there for 2 s at most (measured, see
 /// `docs/design/discovery.md`).
 const ESTABLISHED_AFTER: Duration = Duration::from_millis(2500);
+/// A watch goes on where the next poll comes so soon after the last answer (the protocol page).
+const WATCH_CONTINUES: Duration = Duration::from_millis(200);
 /// A call that failed counts this many times the settings' time for asking (the operators' page).
 const ASK_WITHIN_AFTER_FAILURE: u32 = 4;
 
@@ -73,14 +75,18 @@
 struct Poll {
     begun: Time,
     hold: Duration,
-    /// Since when one watch has followed another without a gap; `None` for a poll that does not wait.
-    watching_since: Option<Time>,
+    /// Whether it goes on with a watch that has been answered.
+    continues: bool,
 }
 
 impl Poll {
-    /// From when on it is known to be a watch that discovery holds open, rather than one that may stand in its queue.
+    /// From when on it is known to be a watch that discovery holds open, rather than one that may stand in its queue;
+    /// `None` for a poll that does not wait. A watch that goes on has been taken, and queues no more.
     fn established_at(&self, queues_for: Duration) -> Option<Time> {
-        self.watching_since.map(|since| since + queues_for)
+        if self.continues {
+            return Some(self.begun);
+        }
+        (!self.hold.is_zero()).then(|| self.begun + queues_for)
     }
 
     /// When what it missed in a silence counts as told.
@@ -119,7 +125,8 @@
     /// No later than this, since a reload.
     reload_due: Option<Time>,
     poll: Option<Poll>,
-    watching_since: Option<Time>,
+    /// When the last poll was answered, if it was a watch.
+    watch_answered: Option<Time>,
     last_call: LastCall,
     state: DiscoveryState,
     /// As of when the list held was last known to be complete.
@@ -135,7 +142,7 @@
             due: now,
             reload_due: None,
             poll: None,
-            watching_since: None,
+            watch_answered: None,
             last_call: LastCall { at: now, failed: false },
             state: DiscoveryState::MayBeDown,
             confirmed: None,
@@ -195,10 +202,8 @@
         }
         let failed = !matches!(event, PollEvent::Answered { .. });
         self.last_call = LastCall { at: now, failed };
-        self.poll = None;
-        if failed {
-            self.watching_since = None;
-        }
+        let watched = self.poll.take().is_some_and(|poll| !poll.hold.is_zero());
+        self.watch_answered = Some(now).filter(|_| watched && !failed);
     }
 
     fn news_due(&self) -> Duration {
@@ -253,8 +258,8 @@
     }
 
     fn begin(&mut self, now: Time, hold: Duration) {
-        self.watching_since = (!hold.is_zero()).then(|| self.watching_since.unwrap_or(now));
-        self.poll = Some(Poll { begun: now, hold, watching_since: self.watching_since });
+        let in_time = self.watch_answered.is_some_and(|answered| now <= answered + WATCH_CONTINUES);
+        self.poll = Some(Poll { begun: now, hold, continues: in_time && !hold.is_zero() });
         self.last_call.at = now;
     }
 
@@ -280,10 +285,9 @@
     }
 
     fn turned_away(&mut self, now: Time) {
-        if self.ended_while_established(now) {
-            return;
-        }
-        if self.state == DiscoveryState::MayBeDown {
+        let may_have_been_down = self.state == DiscoveryState::MayBeDown;
+        self.ended_while_established(now);
+        if may_have_been_down {
             self.was_down(now);
         }
     }
--- a/crates/program/tests/sidecar/crossing.rs
+++ b/crates/program/tests/sidecar/crossing.rs
@@ -41,7 +41,9 @@
     }
 
     fn runs_for(&self, time: Duration) {
-        self.embedded.run(async { drop(Timer::after(time).await) });
+        self.embedded.run(async {
+            Timer::after(time).await;
+        });
     }
 
     fn takes_work(&self, endpoint: &str) -> bool {
