An outage that begins after the list has expired does not renew it

Cause: any sign of an outage extended the lease by 6 s, also where it had run out, and where the settings allow little time without asking a poll that began did so too. What counted as told by then stays told. Mend: at the beginning of a poll a lease that has run out is kept as run out, and only an answer renews it; a poll that began in time counts from its beginning.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -14,6 +14,8 @@
 //! | a reload named another discovery | 4 s after the reload at most |
 //! | no watch is open, and nothing was asked for some time | as the settings' `ask_within` says, four times it after a failure |
 //!
+//! What may have counted as told stays told: once the lease has run out, only an answer renews it.
+//!
 //! A poll that discovery turns away at once shows that it is there, and that it has no room: nothing extends the lease from
 //! then on but an answer or an open watch. One that is turned away after a wait says that discovery is down or overrun,
 //! and not which. It is taken for an outage only as long as nothing has shown that discovery is there, or after an
@@ -258,6 +260,7 @@
     }
 
     fn begin(&mut self, now: Time, hold: Duration) {
+        self.keep_run_out(now);
         let in_time = self.watch_answered.is_some_and(|answered| now <= answered + WATCH_CONTINUES);
         self.poll = Some(Poll { begun: now, hold, continues: in_time && !hold.is_zero() });
         self.last_call.at = now;
@@ -300,9 +303,22 @@
         self.was_down(now);
     }
 
-    /// Discovery could not be reached when the poll began: what has changed since has not been told by it.
+    /// A lease that has run out is not renewed by asking, nor by an outage that begins later: what may have counted as
+    /// told by then stays told.
+    fn keep_run_out(&mut self, now: Time) {
+        let due = self.due(now);
+        if due < now && !self.is_pushed() {
+            self.due = due;
+        }
+    }
+
+    /// Discovery could not be reached when the poll began: what has changed since has not been told by it. An agent that
+    /// cannot be reached learns nothing, whatever it told before.
     fn was_down(&mut self, now: Time) {
         let begun = self.poll.map_or(now, |poll| poll.begun);
+        if begun > self.due && !self.is_pushed() {
+            return;
+        }
         self.reload_due = None;
         self.extend(begun + self.news_due());
     }
