An error of a moment is no word of discovery's: neither the lease nor the next poll heeds it

Cause: EHOSTUNREACH and the system's ETIMEDOUT, which Linux returns for a moment too, were read as discovery out of reach and extended the lease; a poll that this process could not begin counted as discovery's failure, so the next one came after a whole interval, and as a call on it. Mend: origin.rs says whom an error speaks of. The connect is made again after an error of the way; only one that lasts for the time-out of a connect is an outage. A fault of this process is neither a call nor a failure. An exchange that fails by an error of the way extends nothing.

--- a/crates/codec/src/http.rs
+++ b/crates/codec/src/http.rs
@@ -18,8 +18,10 @@
 /// Why a message could not be read.
 #[derive(Debug)]
 pub enum Fault {
-    /// The stream ended or broke.
+    /// The stream ended, or the other side broke it.
     Broken,
+    /// The connection failed here or on its way (ETIMEDOUT, ENOBUFS): the other side said nothing.
+    ConnectionFailed,
     /// It is not HTTP as this program speaks it.
     Malformed(&'static str),
     /// Its head is too long.
@@ -34,6 +36,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Fault::Broken => f.write_str("the connection broke"),
+            Fault::ConnectionFailed => f.write_str("the connection failed on its way"),
             Fault::Malformed(what) => write!(f, "malformed {what}"),
             Fault::HeadTooLong => f.write_str("head is too long"),
             Fault::BodyTooLong => f.write_str("body is too long"),
@@ -43,8 +46,14 @@
 }
 
 impl From<io::Error> for Fault {
-    fn from(_: io::Error) -> Fault {
-        Fault::Broken
+    fn from(why: io::Error) -> Fault {
+        match why.kind() {
+            io::ErrorKind::ConnectionReset
+            | io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::BrokenPipe
+            | io::ErrorKind::UnexpectedEof => Fault::Broken,
+            _ => Fault::ConnectionFailed,
+        }
     }
 }
 
--- a/crates/core/src/counts.rs
+++ b/crates/core/src/counts.rs
@@ -44,6 +44,7 @@
     forwards: [Cell<u64>; Outcome::ALL.len()],
     lists: Cell<u64>,
     list_failures: Cell<u64>,
+    poll_failures: RefCell<BTreeMap<&'static str, u64>>,
     lease_expiries: Cell<u64>,
     classes: RefCell<BTreeMap<String, ClassCounts>>,
     configurations: [Cell<u64>; 2],
@@ -75,6 +76,16 @@
         more(if told { &self.lists } else { &self.list_failures });
     }
 
+    /// A poll of discovery, or a connect for one, came to nothing for that reason.
+    pub fn poll_failed(&self, reason: &'static str) {
+        *self.poll_failures.borrow_mut().entry(reason).or_default() += 1;
+    }
+
+    /// Polls of discovery, and connects for them, that came to nothing, by reason.
+    pub fn poll_failures(&self) -> Vec<(&'static str, u64)> {
+        self.poll_failures.borrow().iter().map(|(reason, count)| (*reason, *count)).collect()
+    }
+
     pub(crate) fn lease_expired(&self) {
         more(&self.lease_expiries);
     }
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -48,11 +48,13 @@
 /// How polls of discovery begin and end, as evidence about the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PollEvent {
-    /// A poll is sent; it waits so long for news.
+    /// A poll is begun, which may have to connect first; it waits so long for news.
     Begun {
         /// How long it waits.
         hold: Duration,
     },
+    /// Its connection is there, and it is sent.
+    Connected,
     /// It was answered: the list held is complete as of that time.
     Answered {
         /// The latest time at which discovery may have written the answer, if its way took as long as it may.
@@ -64,7 +66,8 @@
     TurnedAway,
     /// No connection came up: discovery could not be reached when the poll began.
     Unreachable,
-    /// The connection ended at once, or the answer could not be used.
+    /// It came to nothing, which says nothing of discovery: a fault of this process or of the way, the connection ended at
+    /// once, or the answer could not be used. One that was not connected is no call on discovery.
     Broken,
     /// Nothing was heard in time.
     Silent,
@@ -77,6 +80,8 @@
 struct Poll {
     begun: Time,
     hold: Duration,
+    /// Whether it is connected and sent.
+    sent: bool,
     /// Whether it goes on with a watch that has been answered.
     continues: bool,
 }
@@ -88,7 +93,7 @@
         if self.continues {
             return Some(self.begun);
         }
-        (!self.hold.is_zero()).then(|| self.begun + queues_for)
+        (self.sent && !self.hold.is_zero()).then(|| self.begun + queues_for)
     }
 
     /// When what it missed in a silence counts as told.
@@ -194,6 +199,8 @@
     pub fn observe(&mut self, now: Time, event: PollEvent) {
         match event {
             PollEvent::Begun { hold } => return self.begin(now, hold),
+            PollEvent::Connected => return self.connected(now),
+            PollEvent::Broken if self.poll.is_some_and(|poll| !poll.sent) => return self.poll = None,
             PollEvent::Answered { as_of } => self.answered(as_of),
             PollEvent::Rejected => self.rejected(now),
             PollEvent::TurnedAway => self.turned_away(now),
@@ -220,7 +227,7 @@
         let due = match self.established_watch(now) {
             Some(watch) => self.due.max(watch.due_if_silent()),
             // A poll under way asks.
-            None if self.poll.is_some() => self.due,
+            None if self.poll.is_some_and(|poll| poll.sent) => self.due,
             None => self.due.min(self.due_without_asking()),
         };
         self.reload_due.map_or(due, |reload| due.min(reload))
@@ -261,9 +268,17 @@
 
     fn begin(&mut self, now: Time, hold: Duration) {
         self.keep_run_out(now);
+        self.poll = Some(Poll { begun: now, hold, sent: false, continues: false });
+    }
+
+    /// Discovery is called from now on; the wait of a watch begins.
+    fn connected(&mut self, now: Time) {
         let in_time = self.watch_answered.is_some_and(|answered| now <= answered + WATCH_CONTINUES);
-        self.poll = Some(Poll { begun: now, hold, continues: in_time && !hold.is_zero() });
-        self.last_call.at = now;
+        if let Some(poll) = &mut self.poll {
+            let continues = in_time && !poll.hold.is_zero();
+            *poll = Poll { begun: now, sent: true, continues, ..*poll };
+            self.last_call.at = now;
+        }
     }
 
     fn answered(&mut self, as_of: Time) {
--- a/crates/core/src/lease/tests.rs
+++ b/crates/core/src/lease/tests.rs
@@ -24,11 +24,11 @@
     }
 
     fn watch(self, ms: u64) -> Story {
-        self.then(ms, PollEvent::Begun { hold: HOLD })
+        self.then(ms, PollEvent::Begun { hold: HOLD }).then(ms, PollEvent::Connected)
     }
 
     fn poll(self, ms: u64) -> Story {
-        self.then(ms, PollEvent::Begun { hold: Duration::ZERO })
+        self.then(ms, PollEvent::Begun { hold: Duration::ZERO }).then(ms, PollEvent::Connected)
     }
 
     fn answered(self, ms: u64) -> Story {
@@ -216,3 +216,24 @@
     let moved = Story::begin(ASKED).watch(0).answered(4000).watch(4000).then(5000, PollEvent::Moved);
     assert_eq!(moved.poll(9100).then(9101, PollEvent::Unreachable).expires(), 9000 + USED);
 }
+
+/// Guards against: a poll that this process could not begin counted as a call on discovery: with little time allowed without
+/// asking, each try made the list valid for four times that; and the continuity of a watch lost by it.
+#[test]
+fn a_poll_that_was_not_connected_is_no_call() {
+    let often = Discovery::OnRequest { ask_within: Duration::from_millis(500) };
+    let mut lease = Story::begin(often).poll(100).answered(200);
+    for n in 0..20 {
+        let begun = 300 + 100 * n;
+        lease = lease.then(begun, PollEvent::Begun { hold: HOLD }).then(begun + 1, PollEvent::Broken);
+    }
+    assert_eq!(lease.expires(), 700 + USED);
+    let between = |fault: u64| {
+        let watched = Story::begin(ASKED).watch(0).answered(3000);
+        let failed = watched.then(fault, PollEvent::Begun { hold: HOLD }).then(fault, PollEvent::Broken);
+        failed.watch(fault + 70).expires_seen_at(fault + 70)
+    };
+    assert_eq!(between(3000), 15_070 + USED);
+    // By then the watch is over, and the next one may stand in the queue.
+    assert_eq!(between(3200), 9000 + USED);
+}
--- a/crates/net/src/clients/take_in.rs
+++ b/crates/net/src/clients/take_in.rs
@@ -28,7 +28,7 @@
 /// The answer to what could not be read, if there is anybody to answer.
 pub fn unreadable(fault: &Fault) -> Option<Reply> {
     let status = match fault {
-        Fault::Broken => return None,
+        Fault::Broken | Fault::ConnectionFailed => return None,
         Fault::Malformed(_) => 400,
         Fault::HeadTooLong => 431,
         Fault::BodyTooLong => 413,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clients;
 pub mod console;
 pub mod list;
+mod origin;
 pub mod servers;
 
 use async_io::{Async, Timer};
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -3,32 +3,27 @@
 
 mod answer;
 mod evidence;
+mod poll;
 mod schedule;
 
 pub use answer::{Answer, Names};
 
 use crate::servers::Servers;
-use crate::within;
 use async_channel::Receiver;
-use async_io::{Async, Timer};
-use cottonpoint_codec::buffer::Buffer;
-use cottonpoint_codec::http::Fault;
+use async_io::Timer;
 use cottonpoint_core::{Listed, PollEvent, Sidecar};
 use cottonpoint_decide::*;
-use evidence::{connect_outcome, evidence};
+use evidence::evidence;
 use futures_lite::future;
-use schedule::{NextPoll, Outcome, Schedule, WHOLE_ANSWER};
+use poll::{Connection, End, Failure, Poll, Request, Response};
+use schedule::{NextPoll, Outcome, Schedule};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-const LIST_LIMIT: usize = 4 << 20;
 /// The first poll of a process is made within this part of the settings' time for asking, if that is sooner.
 const FIRST_OF_ASKING: f64 = 0.36;
-/// Discovery is down, or a poll waited too long in its queue (the protocol page).
-const UNAVAILABLE: u16 = 503;
-
 /// Where discovery is, and how it tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -67,8 +62,7 @@
 
 /// What came first: the end of a poll, or a change of what is to be polled.
 enum Step {
-    /// A poll has ended, after that time.
-    Ended(Result<News, Failure>, Duration),
+    Ended(End),
     Moved(Place),
     /// Nobody is left to poll for.
     Over,
@@ -81,30 +75,6 @@
     early: bool,
 }
 
-/// Why a poll came to nothing.
-struct Failure {
-    outcome: Outcome,
-    why: io::Error,
-}
-
-impl Failure {
-    /// An answer that could not be read; `silent` stands for one that did not come to its end.
-    fn of(fault: Fault, silent: Outcome) -> Failure {
-        let outcome = match fault {
-            Fault::Broken => Outcome::Failed,
-            Fault::Stalled => silent,
-            Fault::Malformed(_) | Fault::HeadTooLong | Fault::BodyTooLong => Outcome::Unusable,
-        };
-        Failure { outcome, why: io::Error::other(fault.to_string()) }
-    }
-}
-
-impl From<io::Error> for Failure {
-    fn from(why: io::Error) -> Failure {
-        Failure { outcome: Outcome::Failed, why }
-    }
-}
-
 /// The failure last logged of an outage: one that lasts is logged once; the log bounds the rate of those that change.
 #[derive(Default)]
 struct LastLogged(Option<String>);
@@ -121,9 +91,20 @@
     }
 }
 
-struct Connection {
-    stream: Async<TcpStream>,
-    buffer: Buffer,
+/// How far the polls of one discovery have come.
+struct Polling {
+    schedule: Schedule,
+    /// When the next poll is made.
+    due: Instant,
+    /// The connection of the poll before, if it may be used again.
+    kept: Option<Connection>,
+    under_way: Option<Poll>,
+}
+
+impl Polling {
+    fn new((schedule, next): (Schedule, NextPoll)) -> Polling {
+        Polling { schedule, due: Instant::now() + next.pause(), kept: None, under_way: None }
+    }
 }
 
 impl Watcher {
@@ -131,52 +112,111 @@
     /// discovery moves to is polled soon: the old place closes its connections, and what the new one has to tell counts
     /// as told soon.
     pub async fn run(mut self, subscribed: Receiver<()>) {
-        let (mut last_logged, mut connection) = (LastLogged::default(), None);
-        let (mut schedule, mut next) = Schedule::new(self.discovery.pushed);
-        if let NextPoll::FirstWithin(within) = next {
-            let within =
-                self.sidecar.ask_within().map_or(within, |ask| within.min(ask.mul_f64(FIRST_OF_ASKING)));
-            next = NextPoll::After(within.mul_f64(self.random.f64()));
-        }
+        let mut last_logged = LastLogged::default();
+        let mut polling = Polling::new(self.first_poll());
         let moved = self.moved.clone();
         loop {
-            let poll = async {
-                if !wait(next, &subscribed).await {
-                    return Step::Over;
-                }
-                let begun = Instant::now();
-                let hold = schedule.hold(self.generation.is_none());
-                self.sidecar.polled(PollEvent::Begun { hold });
-                Step::Ended(self.poll(&schedule, begun, hold, &mut connection).await, begun.elapsed())
-            };
+            let poll = self.poll(&mut polling, &subscribed);
             match future::or(async { Step::Moved(next_place(&moved).await) }, poll).await {
-                Step::Ended(Ok(news), took) => {
-                    if last_logged.ends() {
-                        tracing::info!("discovery answers again");
-                    }
-                    let early = news.early;
-                    self.take(news, took);
-                    next = self.next_poll(&mut schedule, Outcome::Answered { early }, took);
-                }
-                Step::Ended(Err(Failure { outcome, why }), took) => {
-                    if last_logged.changes_to(&why.to_string()) {
-                        tracing::warn!(failure = %why, "discovery failed, the old list holds");
-                    }
-                    self.sidecar.polled(evidence(outcome, took));
-                    self.sidecar.list_failed();
-                    next = self.next_poll(&mut schedule, outcome, took);
-                    self.log_failure(&why, outcome, took, next);
-                }
-                Step::Moved(place) => {
-                    connection = None;
-                    (schedule, next) = self.move_to(place);
-                }
+                Step::Ended(end) => self.ended(end, &mut polling, &mut last_logged),
+                Step::Moved(place) => polling = Polling::new(self.move_to(place)),
                 Step::Over => return,
             }
             while subscribed.try_recv().is_ok() {}
         }
     }
 
+    /// The first poll of a process.
+    fn first_poll(&mut self) -> (Schedule, NextPoll) {
+        let (schedule, next) = Schedule::new(self.discovery.pushed);
+        let NextPoll::FirstWithin(within) = next else { return (schedule, next) };
+        let asked = self.sidecar.ask_within().map(|ask| ask.mul_f64(FIRST_OF_ASKING));
+        let within = asked.map_or(within, |asked| within.min(asked));
+        (schedule, NextPoll::After(within.mul_f64(self.random.f64())))
+    }
+
+    /// Makes the next poll when it is due, or goes on with the one under way. It may be dropped and called again.
+    async fn poll(&mut self, polling: &mut Polling, subscribed: &Receiver<()>) -> Step {
+        if polling.under_way.is_none() {
+            Timer::at(polling.due).await;
+            if subscribed.is_closed() {
+                return Step::Over;
+            }
+        }
+        let poll =
+            polling.under_way.get_or_insert_with(|| self.begin(&polling.schedule, polling.kept.take()));
+        let end = poll.await;
+        polling.under_way = None;
+        Step::Ended(end)
+    }
+
+    /// Begins a poll, on the connection that was kept, if any.
+    fn begin(&mut self, schedule: &Schedule, kept: Option<Connection>) -> Poll {
+        let hold = schedule.hold(self.generation.is_none());
+        self.sidecar.polled(PollEvent::Begun { hold });
+        let request = Request {
+            address: self.discovery.address,
+            generation: self.generation,
+            hold,
+            schedule: schedule.clone(),
+            sidecar: self.sidecar.clone(),
+            random: self.random.fork(),
+        };
+        Poll::begin(request, kept)
+    }
+
+    /// Takes what came of a poll, and sets when the next one is made.
+    fn ended(
+        &mut self,
+        End { result, took, hold }: End,
+        polling: &mut Polling,
+        last_logged: &mut LastLogged,
+    ) {
+        let news = result.and_then(|Response { body, connection }| {
+            let news = self.read(&body, took < hold)?;
+            polling.kept = connection;
+            Ok(news)
+        });
+        let next = match news {
+            Ok(news) => {
+                if last_logged.ends() {
+                    tracing::info!("discovery answers again");
+                }
+                let early = news.early;
+                self.take(news, took);
+                self.next_poll(&mut polling.schedule, Outcome::Answered { early }, took)
+            }
+            Err(failure) => self.failed(&failure, took, &mut polling.schedule, last_logged),
+        };
+        polling.due = Instant::now() + next.pause();
+    }
+
+    /// Takes note of a poll that came to nothing, and says when the next one is made.
+    fn failed(
+        &mut self,
+        Failure { outcome, why }: &Failure,
+        took: Duration,
+        schedule: &mut Schedule,
+        last_logged: &mut LastLogged,
+    ) -> NextPoll {
+        self.sidecar.polled(evidence(*outcome, took));
+        self.sidecar.counts().poll_failed(outcome.name());
+        let is_new = last_logged.changes_to(&why.to_string());
+        if *outcome == Outcome::NotMade {
+            if is_new {
+                tracing::warn!(failure = %why, "this process could not ask discovery");
+            }
+        } else {
+            if is_new {
+                tracing::warn!(failure = %why, "discovery failed, the old list holds");
+            }
+            self.sidecar.list_failed();
+        }
+        let next = self.next_poll(schedule, *outcome, took);
+        self.log_failure(why, *outcome, took, next);
+        next
+    }
+
     /// When the next poll is made, after one that took so long and ended so.
     fn next_poll(&mut self, schedule: &mut Schedule, outcome: Outcome, took: Duration) -> NextPoll {
         let (_, lease_left) = self.sidecar.list_age();
@@ -219,59 +259,15 @@
         }
     }
 
-    /// One poll: for the whole list at first, then for what is newer.
-    async fn poll(
-        &mut self,
-        schedule: &Schedule,
-        begun: Instant,
-        hold: Duration,
-        connection: &mut Option<Connection>,
-    ) -> Result<News, Failure> {
-        let mut c = match connection.take() {
-            Some(c) => c,
-            None => connect(self.discovery.address, schedule.connect_timeout()).await?,
-        };
-        let timeout = schedule.answer_timeout(hold, begun.elapsed());
-        let (_, status, body, keep) = self.exchange(&mut c, hold, timeout).await?;
-        if status != 200 {
-            let outcome = if status == UNAVAILABLE { Outcome::TurnedAway } else { Outcome::Unusable };
-            return Err(Failure { outcome, why: io::Error::other(format!("status {status}")) });
-        }
-        let checked = self.checked(&body);
-        let (answer, listed) = checked.map_err(|why| Failure { outcome: Outcome::Unusable, why })?;
+    /// Reads an answer that came before its poll's wait was over, or not.
+    fn read(&mut self, body: &[u8], before_wait_was_over: bool) -> Result<News, Failure> {
+        let checked = self.checked(body);
+        let (answer, (kind, listed)) =
+            checked.map_err(|why| Failure { outcome: Outcome::Unusable, why })?;
         let fresh = self.generation != Some(answer.generation);
-        let news = fresh && (answer.reset || !listed.1.is_empty());
-        let early = !news && begun.elapsed() < hold;
+        let is_news = fresh && (answer.reset || !listed.is_empty());
         self.generation = Some(answer.generation);
-        if keep && c.buffer.is_empty() {
-            *connection = Some(c);
-        }
-        Ok(News { kind: listed.0, listed: listed.1, early })
-    }
-
-    /// Sends a poll that waits so long for news, and reads the answer.
-    async fn exchange(
-        &self,
-        c: &mut Connection,
-        hold: Duration,
-        timeout: Duration,
-    ) -> Result<crate::Answer, Failure> {
-        let address = self.discovery.address;
-        let query = self.generation.map(|g| format!("?from={g}&hold_ms={}", hold.as_millis()));
-        let query = query.unwrap_or_default();
-        tracing::debug!(generation = self.generation, "asks discovery");
-        let request = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-        let exchange = async {
-            crate::write_all(&c.stream, request.as_bytes()).await?;
-            Ok(crate::read_answer(&mut c.buffer, &mut c.stream, LIST_LIMIT, WHOLE_ANSWER).await)
-        };
-        let silent = Outcome::Silent { waits: !hold.is_zero() };
-        match within(timeout, exchange).await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(fault)) => Err(Failure::of(fault, silent)),
-            Err(why) if why.kind() == io::ErrorKind::TimedOut => Err(Failure { outcome: silent, why }),
-            Err(why) => Err(why.into()),
-        }
+        Ok(News { kind, listed, early: !is_news && before_wait_was_over })
     }
 
     /// Reads an answer, and refuses one by which the list held would be lost.
@@ -290,22 +286,6 @@
     }
 }
 
-/// Waits until the next poll is due; false where nobody is left to poll for.
-async fn wait(next: NextPoll, subscribed: &Receiver<()>) -> bool {
-    let (NextPoll::After(pause) | NextPoll::FirstWithin(pause)) = next;
-    if !pause.is_zero() {
-        Timer::after(pause).await;
-    }
-    !subscribed.is_closed()
-}
-
-async fn connect(address: SocketAddr, timeout: Duration) -> Result<Connection, Failure> {
-    let stream = within(timeout, Async::<TcpStream>::connect(address)).await;
-    let stream = stream.map_err(|why| Failure { outcome: connect_outcome(&why), why })?;
-    stream.get_ref().set_nodelay(true)?;
-    Ok(Connection { stream, buffer: Buffer::default() })
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/net/src/list/evidence.rs
+++ b/crates/net/src/list/evidence.rs
@@ -1,6 +1,7 @@
 //! What the end of a poll says about discovery.
 
 use super::schedule::{AT_THE_DOOR, Outcome};
+use crate::origin::Origin;
 use cottonpoint_core::PollEvent;
 use std::io::{Error, ErrorKind};
 use std::time::Duration;
@@ -8,14 +9,24 @@
 #[cfg(test)]
 mod tests;
 
-/// How a poll ended whose connection did not come up. Only what the other side, or the way to it, says counts against
-/// discovery: a process that runs out of ports, buffers or descriptors has failed by itself.
+/// How a connect ended that failed. Only what the other side says counts against discovery, and a silence for the whole
+/// time-out; an error of the way does so once it has lasted as long (`super::poll`).
 pub(super) fn connect_outcome(why: &Error) -> Outcome {
-    match why.kind() {
-        ErrorKind::ConnectionRefused => Outcome::Refused,
-        ErrorKind::TimedOut | ErrorKind::HostUnreachable => Outcome::Unconnected,
-        ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted => Outcome::Failed,
-        _ => Outcome::NotMade,
+    match Origin::of(why) {
+        Origin::Peer if why.kind() == ErrorKind::ConnectionRefused => Outcome::Refused,
+        Origin::Peer => Outcome::Failed,
+        Origin::Silence => Outcome::Unconnected,
+        Origin::Path => Outcome::PathFailed,
+        Origin::Process => Outcome::NotMade,
+    }
+}
+
+/// How a poll ended whose connection failed under it; `silent` where nothing was heard in time.
+pub(super) fn exchange_outcome(why: &Error, silent: Outcome) -> Outcome {
+    match Origin::of(why) {
+        Origin::Peer => Outcome::Failed,
+        Origin::Silence => silent,
+        Origin::Path | Origin::Process => Outcome::PathFailed,
     }
 }
 
@@ -28,8 +39,10 @@
         Outcome::Silent { .. } => PollEvent::Silent,
         // Where discovery is down, a call may end with a reset in place of 503 (the protocol page).
         Outcome::Failed if took >= AT_THE_DOOR => PollEvent::TurnedAway,
-        Outcome::Failed | Outcome::Unusable | Outcome::NotMade | Outcome::Answered { .. } => {
-            PollEvent::Broken
-        }
+        Outcome::Failed
+        | Outcome::PathFailed
+        | Outcome::Unusable
+        | Outcome::NotMade
+        | Outcome::Answered { .. } => PollEvent::Broken,
     }
 }
--- a/crates/net/src/list/schedule.rs
+++ b/crates/net/src/list/schedule.rs
@@ -22,6 +22,7 @@
 //!
 //! *A poll that is turned away at the door is made again with truncated exponential backoff.* Where 503 comes at once,
 //! discovery is alive and its queue is full, also with polls of this fleet: each that is turned away costs it something.
+//! A connection that failed under a poll by an error of the way is made again likewise.
 //! The pause begins at `DOOR_PAUSE_FIRST` and doubles up to `DOOR_PAUSE_MOST`; an answer takes one doubling back. The list
 //! itself is not used beyond its lease (`cottonpoint_core::Lease`), so a late answer costs requests, never a rule.
 //!
@@ -86,8 +87,8 @@
 const DOOR_PAUSE_MOST: Duration = Duration::from_millis(NEWS_DUE.as_millis() as u64 / 3);
 /// So many doublings reach it.
 const DOOR_DOUBLINGS: u32 = 2;
-/// The pause after a poll that this process could not begin, drawn up to twice that: what ran out comes back soon.
-const NOT_MADE_PAUSE: Duration = Duration::from_millis(50);
+/// The pause after a call that failed in this process, or on the way, drawn up to twice that: what ran out comes back soon.
+const AGAIN_SOON: Duration = Duration::from_millis(50);
 /// The first pause is not drawn over less than this, whatever is left of the lease.
 const SPREAD_LEAST: Duration = Duration::from_millis(300);
 /// The first poll of a process is made within this time, drawn over all of it: processes start together. A watch asked for
@@ -123,12 +124,32 @@
     Refused,
     /// The connection did not come up.
     Unconnected,
+    /// The way to discovery failed, or the connection on this side, which may be for a moment: nothing was heard of
+    /// discovery itself.
+    PathFailed,
     /// This process could not begin it: it has no port, buffer or descriptor to spare.
     NotMade,
     /// The connection came up and nothing, or no more, was heard; whether it was a poll that waits.
     Silent { waits: bool },
 }
 
+impl Outcome {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Answered { .. } => "answered",
+            Outcome::TurnedAway => "turned_away",
+            Outcome::Failed => "connection_broke",
+            Outcome::Unusable => "unusable_answer",
+            Outcome::Refused => "refused",
+            Outcome::Unconnected => "not_connected",
+            Outcome::PathFailed => "path_failed",
+            Outcome::NotMade => "not_made",
+            Outcome::Silent { .. } => "silent",
+        }
+    }
+}
+
 /// When the next poll is made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum NextPoll {
@@ -138,8 +159,17 @@
     FirstWithin(Duration),
 }
 
+impl NextPoll {
+    /// The pause until then; where it is still to be drawn, the longest.
+    pub fn pause(self) -> Duration {
+        match self {
+            NextPoll::After(pause) | NextPoll::FirstWithin(pause) => pause,
+        }
+    }
+}
+
 /// The polls of one discovery.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Schedule {
     pushed: bool,
     /// Whether nothing was heard of the last poll.
@@ -210,6 +240,10 @@
     /// What comes after a poll that took so long and ended so, where the list may still be used for that time; `draw` lies
     /// in 0..1.
     pub fn ended(&mut self, outcome: Outcome, took: Duration, lease_left: Duration, draw: f64) -> NextPoll {
+        if outcome == Outcome::NotMade {
+            // No poll was made: what is known of discovery, and of the polls before, stays as it is.
+            return NextPoll::After(again_soon(draw));
+        }
         self.unheard = matches!(outcome, Outcome::Silent { .. } | Outcome::Unconnected);
         self.learn_answer_time(outcome, took);
         let pause = match outcome {
@@ -220,12 +254,15 @@
             }
             Outcome::Silent { waits: true } => SPREAD.mul_f64(draw),
             Outcome::Silent { waits: false } if self.failures < AT_ONCE => SPREAD.mul_f64(draw),
-            Outcome::NotMade => NOT_MADE_PAUSE.mul_f64(1.0 + draw),
             _ if self.pushed => agent_pause(self.failures, draw),
             Outcome::TurnedAway if took < AT_THE_DOOR => self.door_pause(draw),
+            Outcome::PathFailed if took <= ANSWER_MOST => self.door_pause(draw),
             _ => interval_pause(self.failures, took, spread(lease_left), draw),
         };
-        self.failures = self.failures.saturating_add(1);
+        // A way that failed for a moment is no failure of discovery's: the next one is still the first.
+        if outcome != Outcome::PathFailed {
+            self.failures = self.failures.saturating_add(1);
+        }
         self.unconfirmed = true;
         NextPoll::After(pause)
     }
@@ -246,6 +283,11 @@
     }
 }
 
+/// The pause after a call that failed here, or on the way, for a moment.
+pub(super) fn again_soon(draw: f64) -> Duration {
+    AGAIN_SOON.mul_f64(1.0 + draw)
+}
+
 fn early_pause(early: bool, draw: f64) -> Duration {
     if early { EARLY.mul_f64(1.0 + draw / 2.0) } else { Duration::ZERO }
 }
--- a/crates/net/src/list/schedule/tests.rs
+++ b/crates/net/src/list/schedule/tests.rs
@@ -119,6 +119,24 @@
     assert_eq!(pauses, [ms(50), ms(100)]);
 }
 
+/// Guards against: a fault of this process, or of the way for a moment, counted as a failure of discovery's, so that the
+/// next real one is put off for a whole interval and what is known of discovery is lost.
+#[test]
+fn what_fails_here_or_on_the_way_is_no_failure_of_discoverys() {
+    for outcome in [Outcome::NotMade, Outcome::PathFailed] {
+        let (mut schedule, _) = Schedule::new(false);
+        schedule.ended(Outcome::Answered { early: false }, ms(0), NEWS_DUE, 0.5);
+        let pauses = [0.0, 1.0].map(|draw| pause(schedule.ended(outcome, ms(300), NEWS_DUE, draw)));
+        assert!(pauses.iter().all(|pause| *pause <= DOOR_PAUSE_MOST), "{outcome:?}: {pauses:?}");
+        let first = pause(schedule.ended(Outcome::Failed, ms(0), NEWS_DUE, 0.0));
+        assert_eq!(first, ms(0), "the next failure is the first, and its pause is drawn");
+    }
+    let (mut schedule, _) = Schedule::new(false);
+    schedule.ended(Outcome::Unconnected, ms(1100), NEWS_DUE, 0.5);
+    schedule.ended(Outcome::NotMade, ms(0), NEWS_DUE, 0.5);
+    assert_eq!(schedule.hold(false), ms(0), "nothing is heard of discovery still");
+}
+
 /// Guards against: a first poll after a broken watch drawn beyond the lease that is left, so that clients are refused.
 #[test]
 fn the_first_poll_after_a_watch_broke_is_made_while_the_lease_lasts() {
--- /dev/null
+++ b/crates/net/src/origin/tests.rs
@@ -0,0 +1,17 @@
+use super::*;
+
+/// Guards against: an error moved from one of these to another unseen. By their numbers on Linux.
+#[test]
+fn errors_speak_of_whom_they_come_from() {
+    let cases = [
+        (Origin::Peer, [111, 104, 32].as_slice()),
+        (Origin::Path, &[110, 113]),
+        (Origin::Process, &[12, 23, 24, 99, 100, 101, 105]),
+    ];
+    for (origin, codes) in cases {
+        for code in codes {
+            assert_eq!(Origin::of(&Error::from_raw_os_error(*code)), origin, "error {code}");
+        }
+    }
+    assert_eq!(Origin::of(&ErrorKind::TimedOut.into()), Origin::Silence);
+}
--- a/crates/net/src/servers/send.rs
+++ b/crates/net/src/servers/send.rs
@@ -127,7 +127,7 @@
         let answer = crate::read_answer(buffer, &mut stream, http::BODY_LIMIT, WHOLE_WITHIN).await;
         let (head, status, body, keep) = match answer {
             Ok(answer) => answer,
-            Err(Fault::Broken) => return failed(Outcome::Reset),
+            Err(Fault::Broken | Fault::ConnectionFailed) => return failed(Outcome::Reset),
             // The target lives and has answered, with nothing that anybody can use.
             Err(_) => return failed(Outcome::Error),
         };
--- a/crates/program/src/metrics.rs
+++ b/crates/program/src/metrics.rs
@@ -77,6 +77,12 @@
         let (told, failed) = counts.lists();
         let lists = family(&mut [("told", told), ("failed", failed)].into_iter());
         registry.register("lists", "Lists and changes of discovery, and failures to have them", lists);
+        let polls = family(&mut counts.poll_failures().into_iter());
+        registry.register(
+            "discovery_failures",
+            "Polls and connects that came to nothing, by reason",
+            polls,
+        );
         let gauge = |n: usize| {
             let gauge: Gauge = Gauge::default();
             gauge.set(i64::try_from(n).unwrap_or(i64::MAX));
