A poll under way at a reload is read until the new discovery has answered

Cause: a configuration with another discovery dropped the poll under way, with an answer that had arrived or was about to. What discovery writes counts as told, and the process went on by the old list for up to 4 s. Mend: the poll goes on beside that of the new place until that has answered; what it brings is taken if it is newer. It extends no lease, so the bound of 4 s after a reload holds as before.

--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -5,6 +5,7 @@
 mod evidence;
 mod poll;
 mod schedule;
+mod superseded;
 
 pub use answer::{Answer, Names};
 
@@ -21,6 +22,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use superseded::Superseded;
 
 /// The first poll of a process is made within this part of the settings' time for asking, if that is sooner.
 const FIRST_OF_ASKING: f64 = 0.36;
@@ -63,6 +65,8 @@
 /// What came first: the end of a poll, or a change of what is to be polled.
 enum Step {
     Ended(End),
+    /// A poll of the place before has ended.
+    SupersededEnded(End),
     Moved(Place),
     /// Nobody is left to poll for.
     Over,
@@ -114,12 +118,23 @@
     pub async fn run(mut self, subscribed: Receiver<()>) {
         let mut last_logged = LastLogged::default();
         let mut polling = Polling::new(self.first_poll());
+        let mut superseded = Superseded::default();
         let moved = self.moved.clone();
         loop {
+            let moves = async { Step::Moved(next_place(&moved).await) };
+            let before = async { Step::SupersededEnded(superseded.next().await) };
             let poll = self.poll(&mut polling, &subscribed);
-            match future::or(async { Step::Moved(next_place(&moved).await) }, poll).await {
-                Step::Ended(end) => self.ended(end, &mut polling, &mut last_logged),
-                Step::Moved(place) => polling = Polling::new(self.move_to(place)),
+            match future::or(moves, future::or(before, poll)).await {
+                Step::Ended(end) => {
+                    if self.ended(end, &mut polling, &mut last_logged) {
+                        superseded.drop_all();
+                    }
+                }
+                Step::SupersededEnded(end) => self.take_superseded(end),
+                Step::Moved(place) => {
+                    polling.under_way.take().into_iter().for_each(|poll| superseded.keep(poll));
+                    polling = Polling::new(self.move_to(place));
+                }
                 Step::Over => return,
             }
             while subscribed.try_recv().is_ok() {}
@@ -138,7 +153,9 @@
     /// Makes the next poll when it is due, or goes on with the one under way. It may be dropped and called again.
     async fn poll(&mut self, polling: &mut Polling, subscribed: &Receiver<()>) -> Step {
         if polling.under_way.is_none() {
-            Timer::at(polling.due).await;
+            if polling.due > Instant::now() {
+                Timer::at(polling.due).await;
+            }
             if subscribed.is_closed() {
                 return Step::Over;
             }
@@ -165,18 +182,15 @@
         Poll::begin(request, kept)
     }
 
-    /// Takes what came of a poll, and sets when the next one is made.
-    fn ended(
-        &mut self,
-        End { result, took, hold }: End,
-        polling: &mut Polling,
-        last_logged: &mut LastLogged,
-    ) {
+    /// Takes what came of a poll, and sets when the next one is made. Whether it was answered.
+    fn ended(&mut self, end: End, polling: &mut Polling, last_logged: &mut LastLogged) -> bool {
+        let End { result, took, hold, asked_from } = end;
         let news = result.and_then(|Response { body, connection }| {
-            let news = self.read(&body, took < hold)?;
+            let news = self.read(&body, asked_from, took < hold)?;
             polling.kept = connection;
             Ok(news)
         });
+        let answered = news.is_ok();
         let next = match news {
             Ok(news) => {
                 if last_logged.ends() {
@@ -189,6 +203,7 @@
             Err(failure) => self.failed(&failure, took, &mut polling.schedule, last_logged),
         };
         polling.due = Instant::now() + next.pause();
+        answered
     }
 
     /// Takes note of a poll that came to nothing, and says when the next one is made.
@@ -259,26 +274,49 @@
         }
     }
 
-    /// Reads an answer that came before its poll's wait was over, or not.
-    fn read(&mut self, body: &[u8], before_wait_was_over: bool) -> Result<News, Failure> {
-        let checked = self.checked(body);
-        let (answer, (kind, listed)) =
-            checked.map_err(|why| Failure { outcome: Outcome::Unusable, why })?;
+    /// Reads the answer to a poll from that version, which came before the poll's wait was over, or not.
+    fn read(
+        &mut self,
+        body: &[u8],
+        asked_from: Option<u64>,
+        before_wait_was_over: bool,
+    ) -> Result<News, Failure> {
+        let unusable = |why| Failure { outcome: Outcome::Unusable, why };
+        let (answer, (kind, listed)) = self.parsed(body).map_err(unusable)?;
+        if self.generation != asked_from && self.generation.is_some_and(|held| answer.generation < held) {
+            // A superseded poll has brought a newer list meanwhile.
+            return Ok(News { kind: ListKind::Delta, listed: Vec::new(), early: before_wait_was_over });
+        }
+        if !answer.reset && self.generation.is_some_and(|held| answer.generation < held) {
+            // What else has passed is not known: the whole list is polled for next.
+            self.generation = None;
+            return Err(unusable(io::Error::other("a change to an older list than the one held")));
+        }
         let fresh = self.generation != Some(answer.generation);
         let is_news = fresh && (answer.reset || !listed.is_empty());
         self.generation = Some(answer.generation);
         Ok(News { kind, listed, early: !is_news && before_wait_was_over })
     }
 
-    /// Reads an answer, and refuses one by which the list held would be lost.
-    fn checked(&mut self, body: &[u8]) -> io::Result<(Answer, (ListKind, Vec<Listed>))> {
+    /// Takes what discovery answered to a poll that a reload has superseded, if it is newer than what is held. The lease goes
+    /// by the new place alone.
+    fn take_superseded(&mut self, end: End) {
+        let Ok(Response { body, .. }) = end.result else { return };
+        let Ok((answer, (kind, listed))) = self.parsed(&body) else { return };
+        if self.generation.is_none_or(|held| answer.generation <= held) {
+            return;
+        }
+        let (generation, lines) = (answer.generation, listed.len());
+        tracing::info!(generation, lines, ?kind, "discovery told, at the place before");
+        self.generation = Some(generation);
+        self.sidecar.listed(kind, &listed);
+        self.servers.keep_only(|target| self.sidecar.takes_work(target));
+    }
+
+    /// An answer in the core's terms; one by which the list held would be lost is refused.
+    fn parsed(&self, body: &[u8]) -> io::Result<(Answer, (ListKind, Vec<Listed>))> {
         let answer: Answer = serde_json::from_slice(body)?;
         let listed = answer.listed(&self.names).map_err(io::Error::other)?;
-        if !answer.reset && self.generation.is_some_and(|held| answer.generation < held) {
-            // What else has passed is not known: the whole list is polled for next.
-            self.generation = None;
-            return Err(io::Error::other("a change to an older list than the one held"));
-        }
         if answer.reset && listed.1.is_empty() && self.sidecar.has_targets() {
             return Err(io::Error::other("an empty list in place of one with targets"));
         }
--- a/crates/net/src/list/poll.rs
+++ b/crates/net/src/list/poll.rs
@@ -79,22 +79,32 @@
     pub took: Duration,
     /// How long it was to wait for news.
     pub hold: Duration,
+    /// The version that it asked from.
+    pub asked_from: Option<u64>,
 }
 
 /// A poll under way.
 pub(super) struct Poll {
     end: Pin<Box<dyn Future<Output = End>>>,
+    sent: Rc<Cell<bool>>,
 }
 
 impl Poll {
     /// Begins one, on the connection that was kept, if any.
     pub fn begin(request: Request, kept: Option<Connection>) -> Poll {
-        let (begun, hold) = (Cell::new(Instant::now()), request.hold);
+        let (hold, asked_from) = (request.hold, request.generation);
+        let (begun, sent) = (Cell::new(Instant::now()), Rc::new(Cell::new(false)));
+        let is_sent = sent.clone();
         let poll = async move {
-            let result = request.make(kept, &begun).await;
-            End { result, took: begun.get().elapsed(), hold }
+            let result = request.make(kept, &begun, &is_sent).await;
+            End { result, took: begun.get().elapsed(), hold, asked_from }
         };
-        Poll { end: poll.boxed_local() }
+        Poll { end: poll.boxed_local(), sent }
+    }
+
+    /// Whether discovery has been asked, and may answer.
+    pub fn is_sent(&self) -> bool {
+        self.sent.get()
     }
 }
 
@@ -107,11 +117,17 @@
 }
 
 impl Request {
-    async fn make(mut self, kept: Option<Connection>, begun: &Cell<Instant>) -> Result<Response, Failure> {
+    async fn make(
+        mut self,
+        kept: Option<Connection>,
+        begun: &Cell<Instant>,
+        sent: &Cell<bool>,
+    ) -> Result<Response, Failure> {
         let mut connection = match kept {
             Some(connection) => connection,
             None => self.connect(begun).await?,
         };
+        sent.set(true);
         self.sidecar.polled(PollEvent::Connected);
         let (status, body, keep) = self.exchange(&mut connection, begun.get()).await?;
         if status != 200 {
