A fault of this process is no failure of an endpoint

Callers: where a process had no port, buffer, descriptor or connection to spare, healthy endpoints were paused for it, 0.1 s and doubled with each in a row, and requests were refused once its own fault had passed. Cause: each error of connect and write, the process's own time-out before a connection could come up, and three denials of its own guard were booked as the endpoint's failure to connect. Mend: what the guard denies, and what origin.rs says of this process, is booked as never sent (moot); under a connect the attempt's own time blames the endpoint after 0.1 s of silence. Refusals and time-outs of a connect are strikes as before.

--- a/crates/core/src/guard.rs
+++ b/crates/core/src/guard.rs
@@ -57,14 +57,10 @@
         }
     }
 
-    /// How an attempt that it ends is booked. None of them ran; only an endpoint that has left is to blame for it.
+    /// How an attempt that it ends is booked: none of them ran, and what this process did not let begin says nothing of the
+    /// endpoint.
     pub fn outcome(self) -> Outcome {
-        match self {
-            Denial::OutOfTime | Denial::EndpointLeaving | Denial::EndpointGone => Outcome::ConnectFailed,
-            Denial::ClientGone | Denial::RequestOver | Denial::NotRepeatable | Denial::ListExpired => {
-                Outcome::Moot
-            }
-        }
+        Outcome::Moot
     }
 }
 
--- a/crates/net/src/servers/send.rs
+++ b/crates/net/src/servers/send.rs
@@ -1,6 +1,7 @@
 //! Send: one forward goes to its target, and what comes back is put in the balancer's terms.
 
 use super::{Connection, Servers};
+use crate::origin::Origin;
 use async_io::Timer;
 use cottonpoint_codec::http::{self, Fault, Head};
 use cottonpoint_core::{Denial, Forward, Halt};
@@ -16,6 +17,10 @@
 /// An answer that has begun must be whole within this time: it is 64 KiB at most, made before it is sent.
 const WHOLE_WITHIN: Duration = Duration::from_millis(500);
 
+/// Nothing heard of a connection for so long speaks against its endpoint, also where the attempt's own time ends then: a
+/// handshake takes far less.
+const SILENCE_TELLS: Duration = Duration::from_millis(100);
+
 /// A request as it goes to targets: all of it but the time left.
 #[derive(Clone, Debug)]
 pub struct Outgoing {
@@ -39,12 +44,44 @@
 enum Progress {
     /// No byte of it is written.
     NotBegun,
+    /// The same, and a connection was asked for then.
+    Connecting(Instant),
     /// Its first byte is written.
     Begun,
     /// Its last byte is written: it may run.
     Written,
 }
 
+impl Progress {
+    /// Whether a byte of it is written.
+    fn has_begun(self) -> bool {
+        matches!(self, Progress::Begun | Progress::Written)
+    }
+
+    /// How it is booked where its own time ends. What was not written whole never ran; an endpoint that does not read it, or
+    /// lets no connection come up, has failed.
+    fn timed_out(self) -> Outcome {
+        match self {
+            Progress::Written => Outcome::TimedOut,
+            Progress::Begun => Outcome::ConnectFailed,
+            Progress::Connecting(since) if since.elapsed() >= SILENCE_TELLS => Outcome::ConnectFailed,
+            Progress::Connecting(_) | Progress::NotBegun => Outcome::Moot,
+        }
+    }
+}
+
+/// How an attempt is booked whose connection failed before it was written whole: a fault of this process says nothing of the
+/// endpoint.
+fn not_connected(why: &io::Error) -> Outcome {
+    match Origin::of(why) {
+        Origin::Process => {
+            tracing::debug!(%why, "no connection to an endpoint, by a fault of this process");
+            Outcome::Moot
+        }
+        Origin::Peer | Origin::Path | Origin::Silence => Outcome::ConnectFailed,
+    }
+}
+
 /// How a forward ended, and the load report that came along.
 pub type Ended = (Outcome, Option<LoadReport>, Served);
 
@@ -65,17 +102,13 @@
         let ended = |outcome| (outcome, None, Served::default());
         let timeout = async {
             Timer::at(until).await;
-            // What was not written whole never ran.
-            let written = progress.get() == Progress::Written;
-            ended(if written { Outcome::TimedOut } else { Outcome::ConnectFailed })
+            ended(progress.get().timed_out())
         };
         let halted = async {
             loop {
                 match forward.halted().await {
                     Halt::Withdrawn => return ended(Outcome::Cancelled),
-                    Halt::TargetLeft if progress.get() == Progress::NotBegun => {
-                        return ended(Outcome::ConnectFailed);
-                    }
+                    Halt::TargetLeft if !progress.get().has_begun() => return ended(Outcome::Moot),
                     Halt::TargetLeft => {}
                 }
             }
@@ -103,22 +136,29 @@
             Some(connection) => (Ok(connection), Duration::ZERO),
             None if !waits() => return failed(Outcome::Moot),
             // What comes first on a new connection waits for its handshake, which may take as long as that.
-            None => (self.connect(target).await, self.connect_timeout()),
+            None => {
+                progress.set(Progress::Connecting(Instant::now()));
+                (self.connect(target).await, self.connect_timeout())
+            }
+        };
+        let mut connection = match connection {
+            Ok(connection) => connection,
+            Err(why) => return failed(not_connected(&why)),
         };
-        let Ok(mut connection) = connection else { return failed(Outcome::ConnectFailed) };
+        progress.set(Progress::NotBegun);
         let bytes = serialize(message, until);
         // Right before each byte: what was not written whole never ran, so it may be given up at any but the last.
-        let may_write = || forward.may_write(progress.get() != Progress::NotBegun, waits(), way);
+        let may_write = || forward.may_write(progress.get().has_begun(), waits(), way);
         let begun = || forward.check_begun();
         match write(&connection, &bytes, progress, may_write, begun).await {
             Ok(()) => {}
-            Err(NotWritten::Broken) => return failed(Outcome::ConnectFailed),
+            Err(NotWritten::Broken(why)) => return failed(not_connected(&why)),
             Err(NotWritten::Denied(denial)) => {
-                let outcome = denial.outcome();
-                if outcome == Outcome::Moot && progress.get() == Progress::NotBegun {
+                let has_left = matches!(denial, Denial::EndpointLeaving | Denial::EndpointGone);
+                if !progress.get().has_begun() && !has_left {
                     self.put(target.id, connection); // Nothing went out on it: it is as good as before.
                 }
-                return failed(outcome);
+                return failed(denial.outcome());
             }
         }
         written();
@@ -163,7 +203,7 @@
 /// Why an attempt was not written whole: it never ran.
 enum NotWritten {
     /// The connection broke.
-    Broken,
+    Broken(io::Error),
     /// The guard did not allow it, or not to its end.
     Denied(Denial),
 }
@@ -185,15 +225,15 @@
             loop {
                 match Pin::new(&mut &*connection.stream).poll_write(context, &bytes[written..]) {
                     Poll::Ready(Err(why)) if why.kind() == io::ErrorKind::Interrupted => {}
-                    polled => return polled.map_err(|_| NotWritten::Broken),
+                    polled => return polled.map_err(NotWritten::Broken),
                 }
             }
         });
         written += match piece.await? {
-            0 => return Err(NotWritten::Broken),
+            0 => return Err(NotWritten::Broken(io::ErrorKind::WriteZero.into())),
             n => n,
         };
-        if progress.replace(Progress::Begun) == Progress::NotBegun {
+        if !progress.replace(Progress::Begun).has_begun() {
             begun();
         }
     }
