Soak: each run listens on an address of its own, on ports not given twice

Nothing for callers of the program. Cause: all runs listened on 127.0.0.1 on ports of the system's choice; an endpoint that crashed left its port to another run. Mend: an address of loopback by the process's id, and ports counted up for the stand-ins, so that what has been left stays empty.

--- a/crates/lab/src/soak/discovery.rs
+++ b/crates/lab/src/soak/discovery.rs
@@ -1,5 +1,6 @@
 //! The stand-in discovery of a soak: one list, two addresses for each process, and what it does with polls by condition.
 
+use super::addresses;
 use super::plan::{DiscoveryCondition, WatchFault};
 use super::records::*;
 use crate::live::discovery::{Answers, Line};
@@ -91,9 +92,9 @@
             written.push(Vec::new());
             written.len() - 1
         };
-        let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); PLACES];
+        let mut addresses = [SocketAddr::from((addresses::host(), 0)); PLACES];
         for address in &mut addresses {
-            let listener = TcpListener::bind("127.0.0.1:0")?;
+            let listener = addresses::listen()?;
             *address = listener.local_addr()?;
             let accept = self.clone().accept(executor.clone(), listener, *address, member);
             executor.spawn(accept).detach();
--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -1,6 +1,7 @@
 //! A stand-in endpoint of a soak: it works for a drawn time on each request, misbehaves as it is told, and notes each
 //! attempt.
 
+use super::addresses;
 use super::discovery::reset;
 use super::plan::Behaviour;
 use super::records::*;
@@ -12,7 +13,7 @@
 use futures_lite::{AsyncWriteExt, future};
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -80,7 +81,7 @@
 
     /// Starts its process on a new port, and says where it listens.
     pub fn start(self: &Rc<Self>, executor: &Executor) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = addresses::listen()?;
         let (address, listener) = (listener.local_addr()?, Async::new(listener)?);
         let connections: Rc<RefCell<Vec<Task<()>>>> = Rc::default();
         let (this, own, spawner) = (self.clone(), connections.clone(), executor.clone());
--- a/crates/lab/src/soak/member.rs
+++ b/crates/lab/src/soak/member.rs
@@ -1,5 +1,6 @@
 //! One process of the program in a soak: its files, its start, signals, console and metrics.
 
+use super::addresses;
 use super::discovery::PLACES;
 use super::oracle::{COLD_FROM, COLD_MULTIPLE, COLD_WINDOW, DRAIN_GRACE, KEY_WINDOW, WARM_AFTER};
 use super::plan::{Plan, Shim};
@@ -63,10 +64,11 @@
         let state = folder.join(format!("p{place}"));
         fs::create_dir_all(&state)?;
         let (config, operator) = (state.join("config.json"), state.join("cottonpoint.toml"));
-        fs::write(&operator, "[log]\nform = \"json\"\n\n[metrics]\nlisten = \"127.0.0.1:0\"\n")?;
+        let listen = format!("{}:0", addresses::host());
+        fs::write(&operator, format!("[log]\nform = \"json\"\n\n[metrics]\nlisten = \"{listen}\"\n"))?;
         let known: Value = serde_json::from_str(known)?;
         let configuration = json!({
-            "name": format!("p{place}"), "listen": "127.0.0.1:0", "console": "127.0.0.1:0",
+            "name": format!("p{place}"), "listen": listen, "console": listen,
             "discovery": discovery[0].to_string(), "limits": { "sockets": SOCKETS },
             "known": known, "settings": settings(plan, place),
         });
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -4,6 +4,7 @@
 //! `plan` draws what happens, without I/O; `play` carries it out with `discovery`, `endpoint`, `clients` and `member`;
 //! all of them write `records`; `oracle` looks for broken invariants in these, without I/O; `report` prints.
 
+pub mod addresses;
 pub mod clients;
 pub mod discovery;
 pub mod endpoint;
--- a/crates/lab/src/soak/play.rs
+++ b/crates/lab/src/soak/play.rs
@@ -3,6 +3,7 @@
 mod stops;
 
 use super::Arguments;
+use super::addresses;
 use super::clients::Clients;
 use super::discovery::Discovery;
 use super::endpoint::Endpoint;
@@ -160,7 +161,7 @@
         for index in 0..self.plan.padding {
             // Nobody listens on the port of discard.
             let line =
-                line(&format!("padding-{index}"), SocketAddr::from(([127, 0, 0, 1], 9)), "leaving", 0);
+                line(&format!("padding-{index}"), SocketAddr::from((addresses::host(), 9)), "leaving", 0);
             self.discovery.list(line);
         }
         Ok(())
