Soak: an answer cut short by a crash ends by a reset

Nothing for callers of the program. Cause: the stand-in set the reset of a cut answer 4 ms after sending it; a crash in between ended it by a clean close, as a whole answer with no length ends. Mend: the reset is set before the first byte.

--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -208,14 +208,17 @@
         stream.write_all(answer.as_bytes()).await
     }
 
-    /// An answer that ends with its connection; every second one is reset on the way.
+    /// An answer that ends with its connection; every second one is reset on the way. A clean close would make it whole, so
+    /// the reset is set before anything is sent: the connection may be dropped at any time.
     async fn write_without_length(&self, mut stream: &Async<TcpStream>, body: &str) -> io::Result<()> {
         let whole = self.random.borrow_mut().bool();
         let sent = if whole { body } else { &body[..body.len() / 2] };
+        if !whole {
+            reset(stream)?;
+        }
         stream.write_all(format!("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{sent}").as_bytes()).await?;
         if !whole {
             Timer::after(AGAIN_AFTER).await;
-            reset(stream)?;
         }
         Ok(())
     }
