A member that could not be pinged is not suspected for its silence

Operators: a member short of buffers told its fleet that others are suspected. Cause: a ping that this process could not send was booked as the silence of the member pinged. Mend: the shell tells the plane (Event::NotSent), which probes that member in the next period; errors that speak of the other side or of the way stay silences. That the shell tells it has no test.

--- a/crates/mesh/src/pool.rs
+++ b/crates/mesh/src/pool.rs
@@ -10,7 +10,7 @@
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
 use cottonpoint_decide::Time;
-use cottonpoint_peers::{Action, Counts, Event, MemberId, View};
+use cottonpoint_peers::{Action, Counts, Event, MemberId, Packet, View};
 use rustix::event::{EventfdFlags, PollFd, PollFlags, Timespec, eventfd, poll};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddrV4, UdpSocket};
@@ -284,14 +284,33 @@
         assert_none_held();
         for action in to_do {
             let Action::Send { to, packet } = action else { continue };
-            match self.seal.seal(&packet).map(|datagram| self.socket.send_to(&datagram, to)) {
-                Some(Ok(_)) => self.counters.sent.add(),
-                Some(Err(e)) => {
-                    self.counters.send_failed.add();
-                    tracing::debug!(%to, %e, "not sent");
-                }
-                None => self.counters.too_long.add(),
+            if let Err(why) = self.send(to, &packet)
+                && is_of_this_process(&why)
+            {
+                self.step(Event::NotSent(&packet));
             }
         }
     }
+
+    fn send(&self, to: SocketAddrV4, packet: &Packet) -> io::Result<()> {
+        let Some(datagram) = self.seal.seal(packet) else {
+            self.counters.too_long.add();
+            return Ok(());
+        };
+        let sent = self.socket.send_to(&datagram, to);
+        match &sent {
+            Ok(_) => self.counters.sent.add(),
+            Err(e) => {
+                self.counters.send_failed.add();
+                tracing::debug!(%to, %e, "not sent");
+            }
+        }
+        sent.map(drop)
+    }
+}
+
+/// Whether a datagram was not sent for want of a buffer, memory or route here, rather than for what the other side, or the
+/// way to it, said before.
+fn is_of_this_process(why: &io::Error) -> bool {
+    !matches!(why.kind(), ErrorKind::ConnectionRefused | ErrorKind::HostUnreachable | ErrorKind::TimedOut)
 }
--- a/crates/peers/src/interface.rs
+++ b/crates/peers/src/interface.rs
@@ -133,6 +133,8 @@
     Leave,
     /// It is a member again after [`Event::Leave`].
     Join,
+    /// A packet could not be sent, by a fault of this process: no silence that follows is the other member's.
+    NotSent(&'a Packet),
 }
 
 /// What a member asks for.
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -77,6 +77,7 @@
             Event::Wake => {}
             Event::Leave => self.leave(),
             Event::Join => self.join(),
+            Event::NotSent(packet) => self.not_sent(&packet.body),
         }
         self.due(actions);
         let next = self.next_wake();
--- a/crates/peers/src/probe.rs
+++ b/crates/peers/src/probe.rs
@@ -41,6 +41,16 @@
         self.syncs.wanted = self.syncs.wanted.max(1);
     }
 
+    /// That could not be sent, by a fault of this process. A member that was not pinged is not suspected for its silence: it is
+    /// probed in the next period instead.
+    pub(crate) fn not_sent(&mut self, body: &Body) {
+        let Body::Ping { number } = body else { return };
+        let not_pinged = |probe: &mut Probe| probe.number == *number && probe.direct_until.is_some();
+        if let Some(probe) = self.probe.take_if(not_pinged) {
+            self.round.push(probe.whom);
+        }
+    }
+
     /// All that is due by now.
     pub(crate) fn due(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
--- a/crates/peers/tests/rules.rs
+++ b/crates/peers/tests/rules.rs
@@ -197,3 +197,31 @@
     assert!(peers.counts().deaths == 1 && peers.counts().suspicions == 0, "{:?}", peers.counts());
     assert!(asked.len() == 1 && asked[0] + 5 >= quarter, "{asked:?}, ended {quarter}");
 }
+
+/// Guards against: a member suspected for its silence to a ping that this process could not send.
+#[test]
+fn who_could_not_be_pinged_is_not_suspected() {
+    let standing_after_a_period = |sent: bool| {
+        let mut peers = started();
+        let mut actions = tell(&mut peers, NOW, 1, Body::Known, vec![]);
+        let mut now = NOW;
+        while pings(&actions).is_empty() {
+            now = now + T / 10;
+            actions.clear();
+            peers.handle(now, Event::Wake, &mut actions);
+        }
+        if !sent {
+            for action in &actions {
+                let Action::Send { packet, .. } = action else { continue };
+                peers.handle(now, Event::NotSent(packet), &mut Vec::new());
+            }
+        }
+        for tenth in 1..=10 {
+            peers.handle(now + T / 10 * tenth, Event::Wake, &mut Vec::new());
+        }
+        let members = peers.view().members;
+        members.iter().find(|member| member.news.id == id(1)).map(|member| member.news.standing)
+    };
+    assert_eq!(standing_after_a_period(true), Some(Standing::Suspected));
+    assert_eq!(standing_after_a_period(false), Some(Standing::Reachable));
+}
