Names of the field: attempt for forward, rejected for the door; constants tell no story

Names that others see (metrics, settings) stay. No behaviour changes; the decision module's lines change by comments alone.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -31,7 +31,7 @@
         let (sender, steps) = async_channel::unbounded();
         let mut core = self.core.borrow_mut();
         let tuning = core.newest();
-        let entry = Entry { tuning, steps: sender, forwards: Vec::new(), closed: false };
+        let entry = Entry { tuning, steps: sender, attempts: Vec::new(), closed: false };
         core.flows.insert(id, entry);
         drop(core);
         let call = Call { id, class: new.class, tenant: new.tenant, due: new.due, cost: None };
@@ -44,7 +44,7 @@
 impl Drop for Flow {
     fn drop(&mut self) {
         self.depart();
-        // Forwards that nobody took are booked as they drop, while the core is free.
+        // Attempts that nobody took are booked as they drop, while the core is free.
         while let Ok(step) = self.steps.try_recv() {
             drop(step);
         }
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -1,4 +1,4 @@
-//! Book: what came of a forward is told to the balancer, exactly once.
+//! Book: what came of an attempt is told to the balancer, exactly once.
 
 use super::{AttemptFacts, Denial, Halt, Sidecar, Target};
 use async_channel::Receiver;
@@ -6,12 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// One forward of a flow to a target. It is booked once: by [`Forward::book`], or as withdrawn when it is
+/// One attempt of a flow to a target. It is booked once: by [`Attempt::book`], or as withdrawn when it is
 /// dropped without.
-pub struct Forward {
+pub struct Attempt {
     sidecar: Rc<Sidecar>,
     flow: RequestId,
-    attempt: u8,
+    /// Its place among those of its flow, from 0.
+    number: u8,
     /// Where it goes.
     pub target: Target,
     /// When it is abandoned.
@@ -21,17 +22,17 @@
     booked: bool,
 }
 
-impl Forward {
+impl Attempt {
     pub(super) fn new(
         sidecar: Rc<Sidecar>,
         flow: RequestId,
-        attempt: u8,
+        number: u8,
         target: Target,
         until: Time,
         halted: Receiver<Halt>,
-    ) -> Forward {
+    ) -> Attempt {
         let sent = sidecar.clock.now();
-        Forward { sidecar, flow, attempt, target, until, sent, halted, booked: false }
+        Attempt { sidecar, flow, number, target, until, sent, halted, booked: false }
     }
 
     /// Waits until it should end early.
@@ -62,7 +63,7 @@
         let (age, _) = self.sidecar.list_age();
         tracing::debug!(
             flow = self.flow.0,
-            attempt = self.attempt,
+            attempt = self.number,
             endpoint = %format_args!("{:016x}", self.target.id.0),
             reason = denial.name(),
             standing = ?facts.endpoint,
@@ -80,7 +81,7 @@
             let (age, _) = sidecar.list_age();
             tracing::error!(
                 flow = self.flow.0,
-                attempt = self.attempt,
+                attempt = self.number,
                 endpoint = %format_args!("{:016x}", self.target.id.0),
                 rule = violation.name(),
                 list_age_ms = age.map(|age| age.as_millis() as u64),
@@ -94,7 +95,7 @@
         self.sidecar.takes_work(self.target.id)
     }
 
-    /// Tells the balancer how it ended. Returns whether the answer of a served forward is the client's.
+    /// Tells the balancer how it ended. Returns whether the answer of a served attempt is the client's.
     pub fn book(mut self, outcome: Outcome, report: Option<LoadReport>) -> bool {
         self.finish(outcome, report)
     }
@@ -113,7 +114,7 @@
         let served = outcome == Outcome::Ok && !was_closed;
         self.sidecar.feed(Event::Finished {
             id: self.flow,
-            attempt: self.attempt,
+            attempt: self.number,
             endpoint: self.target.id,
             outcome,
             closed: served || was_closed,
@@ -124,7 +125,7 @@
     }
 }
 
-impl Drop for Forward {
+impl Drop for Attempt {
     fn drop(&mut self) {
         if !self.booked {
             self.finish(Outcome::Cancelled, None);
--- a/crates/core/src/counts.rs
+++ b/crates/core/src/counts.rs
@@ -21,7 +21,7 @@
     Faulted,
 }
 
-/// Figures of one class: flows fulfilled, throttled, faulted, and forwards written whole.
+/// Figures of one class: flows fulfilled, throttled, faulted, and attempts written whole.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ClassCounts {
     /// Flows that a target's answer ended.
@@ -30,7 +30,7 @@
     pub throttled: u64,
     /// Flows failed.
     pub faulted: u64,
-    /// Forwards written whole to targets.
+    /// Attempts written whole to targets.
     pub relayed: u64,
 }
 
@@ -41,7 +41,7 @@
     refused: Cell<u64>,
     failed: Cell<u64>,
     departed: Cell<u64>,
-    forwards: [Cell<u64>; Outcome::ALL.len()],
+    attempts: [Cell<u64>; Outcome::ALL.len()],
     lists: Cell<u64>,
     list_failures: Cell<u64>,
     poll_failures: RefCell<BTreeMap<&'static str, u64>>,
@@ -69,7 +69,7 @@
     }
 
     pub(crate) fn book(&self, outcome: Outcome) {
-        more(&self.forwards[outcome as usize]);
+        more(&self.attempts[outcome as usize]);
     }
 
     pub(crate) fn list(&self, told: bool) {
@@ -116,7 +116,7 @@
         });
     }
 
-    /// A forward of that class was written whole to its target.
+    /// An attempt of that class was written whole to its target.
     pub fn relayed(&self, class: &str) {
         self.of_class(class, |c| c.relayed += 1);
     }
@@ -156,9 +156,9 @@
         [("refused", self.refused.get()), ("failed", self.failed.get()), ("departed", self.departed.get())]
     }
 
-    /// Forwards by outcome. Those with [`Outcome::Ok`] served their flows, but for answers that came too late.
-    pub fn forwards(&self) -> impl Iterator<Item = (Outcome, u64)> + '_ {
-        Outcome::ALL.iter().zip(&self.forwards).map(|(o, n)| (*o, n.get()))
+    /// Attempts by outcome. Those with [`Outcome::Ok`] served their flows, but for answers that came too late.
+    pub fn attempts(&self) -> impl Iterator<Item = (Outcome, u64)> + '_ {
+        Outcome::ALL.iter().zip(&self.attempts).map(|(o, n)| (*o, n.get()))
     }
 
     /// Lists and changes told, and failures to have them.
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -37,8 +37,8 @@
 /// A process may be held up for 0.15 s between reading its clock and writing (the operators' page), and a timer may fire
 /// 0.05 s late.
 const HELD_UP: Duration = Duration::from_millis(200);
-/// A watch that is open for longer stands in no queue: discovery keeps a poll there for 2 s at most (measured, see
-/// `docs/design/discovery.md`).
+/// A watch that is open for longer stands in no queue: discovery keeps a poll there for 2 s at most
+/// (`docs/design/discovery.md`).
 const ESTABLISHED_AFTER: Duration = Duration::from_millis(2500);
 /// A watch goes on where the next poll comes so soon after the last answer (the protocol page).
 const WATCH_CONTINUES: Duration = Duration::from_millis(200);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,7 +2,7 @@
 //! lifecycle of flows. It feeds events to the balancer and carries out what the balancer asks for.
 //!
 //! A front takes a flow in, calls [`Sidecar::admit`], then follows [`Flow::route`] step by step: each
-//! [`Forward`] is sent by whatever speaks to targets and booked with its outcome, until a step ends the flow.
+//! [`Attempt`] is sent by whatever speaks to targets and booked with its outcome, until a step ends the flow.
 
 mod admit;
 mod book;
@@ -16,7 +16,7 @@
 mod targets;
 
 pub use admit::{Flow, NewFlow};
-pub use book::Forward;
+pub use book::Attempt;
 pub use clock::Clock;
 pub use counts::{ClassCounts, Counts, Fate};
 pub use guard::{AttemptFacts, Denial, EndpointStanding, Guard, Violation};
@@ -44,8 +44,8 @@
     /// The settings that it came in under: the balancer that holds it.
     tuning: u32,
     steps: Sender<Step>,
-    /// For each forward: what may halt it, and where it goes.
-    forwards: Vec<(Sender<Halt>, EndpointId)>,
+    /// For each attempt: what may halt it, and where it goes.
+    attempts: Vec<(Sender<Halt>, EndpointId)>,
     /// The final answer has been given, or is owed no more.
     closed: bool,
 }
@@ -136,7 +136,7 @@
         &self.guard
     }
 
-    /// Whether a flow is owed an answer, and whether a forward of it may come to its target at that time.
+    /// Whether a flow is owed an answer, and whether an attempt of it may come to its target at that time.
     fn may_reach(&self, flow: RequestId, at: Time) -> (bool, bool) {
         let core = &mut *self.core.borrow_mut();
         let open = core.flows.get(&flow).filter(|entry| !entry.closed).map(|entry| entry.tuning);
@@ -231,7 +231,7 @@
     fn carry_out(self: &Rc<Self>, core: &mut Core, tuning: u32, action: Action) -> Option<Event<'static>> {
         match action {
             Action::Send { id, endpoint, until } => {
-                return route::forward(self, core, id, endpoint, until);
+                return route::attempt(self, core, id, endpoint, until);
             }
             Action::Refuse { id, retry_after } => {
                 self.answer(core, id, FixedResponse::Refused { retry_after });
@@ -239,7 +239,7 @@
             Action::Fail { id } => self.answer(core, id, FixedResponse::Failed),
             Action::Cancel { id, attempt } => {
                 let entry = core.flows.get(&id);
-                if let Some((halt, _)) = entry.and_then(|e| e.forwards.get(usize::from(attempt))) {
+                if let Some((halt, _)) = entry.and_then(|e| e.attempts.get(usize::from(attempt))) {
                     let _ = halt.try_send(Halt::Withdrawn);
                 }
             }
@@ -267,7 +267,7 @@
     /// Halts each send that has not begun to a target that wants nothing new.
     fn halt_unwanted(&self) {
         for entry in self.flows.values() {
-            if let Some((halt, target)) = entry.forwards.last()
+            if let Some((halt, target)) = entry.attempts.last()
                 && !self.group.takes_work(*target)
             {
                 let _ = halt.try_send(Halt::TargetLeft);
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -1,6 +1,6 @@
 //! Route: what the balancer decided for a flow, one step after another.
 
-use super::{Core, Flow, Forward, Sidecar};
+use super::{Attempt, Core, Flow, Sidecar};
 use cottonpoint_decide::*;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,7 +17,7 @@
     Failed,
 }
 
-/// Why a forward should end early.
+/// Why an attempt should end early.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Halt {
     /// The balancer withdrew it.
@@ -29,7 +29,7 @@
 /// What comes next for a flow.
 pub enum Step {
     /// Send it to a target and book the outcome.
-    Forward(Forward),
+    Attempt(Attempt),
     /// Answer it.
     Answer(FixedResponse),
     /// Nothing is owed any more.
@@ -56,8 +56,8 @@
     }
 }
 
-/// Queues a forward; a target that is not listed cannot be connected to.
-pub(super) fn forward(
+/// Queues an attempt; a target that is not listed cannot be connected to.
+pub(super) fn attempt(
     sidecar: &Rc<Sidecar>,
     core: &mut Core,
     id: RequestId,
@@ -71,16 +71,16 @@
         let (attempt, report) = (0, None);
         return Some(Event::Finished { id, attempt, endpoint, outcome, closed: true, elapsed, report });
     };
-    let attempt = u8::try_from(entry.forwards.len()).unwrap_or(u8::MAX);
-    entry.forwards.push((halt, endpoint));
+    let number = u8::try_from(entry.attempts.len()).unwrap_or(u8::MAX);
+    entry.attempts.push((halt, endpoint));
     let Some(target) = target else {
         let (outcome, elapsed) = (Outcome::ConnectFailed, Duration::ZERO);
-        let (closed, report) = (entry.closed, None);
+        let (attempt, closed, report) = (number, entry.closed, None);
         return Some(Event::Finished { id, attempt, endpoint, outcome, closed, elapsed, report });
     };
-    let forward = Forward::new(sidecar.clone(), id, attempt, target, until, halted);
+    let attempt = Attempt::new(sidecar.clone(), id, number, target, until, halted);
     // The receiver lives as long as the entry: nothing is dropped here, where the core is borrowed.
-    let _ = entry.steps.try_send(Step::Forward(forward));
+    let _ = entry.steps.try_send(Step::Attempt(attempt));
     None
 }
 
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// A target as a forward needs it.
+/// A target as an attempt needs it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Target {
     /// Its identity.
--- a/crates/decide/src/policy/attempts.rs
+++ b/crates/decide/src/policy/attempts.rs
@@ -105,7 +105,7 @@
             let (usual, taken) = (&mut self.class_time[class], elapsed.as_secs_f64());
             *usual += if *usual > 0.0 { (taken - *usual) * TIME_GAIN } else { taken };
         }
-        // One endpoint's failures in a row say no more about the limit than the first did (i753040: a few
+        // One endpoint's failures in a row say no more about the limit than the first did (a few
         // that hang would shrink it for all), nor do refusals beside far fewer calls than it carries (two of
         // four that refused a quarter of their calls, whatever they held, shrank it to its least).
         let telling = !failing && !own_reasons && !matches!(outcome, Outcome::Cancelled | Outcome::Moot);
--- a/crates/decide/src/policy/levels.rs
+++ b/crates/decide/src/policy/levels.rs
@@ -170,7 +170,7 @@
 
     /// Whether a client's try has the usual length, found by majority vote over the class's tries. A later
     /// try has what is left of the client's whole patience instead, which tells when its first try began: an
-    /// answer later than the aim from there is worthless (i753040, where a fifth of the answers were).
+    /// answer later than the aim from there is worthless.
     fn first_try(&mut self, call: &Call, left: Duration, give_up: Duration) -> bool {
         let (usual, votes) = &mut self.patience[usize::from(call.class.0)];
         if *votes == 0 {
--- a/crates/decide/src/policy/limit.rs
+++ b/crates/decide/src/policy/limit.rs
@@ -3,14 +3,14 @@
 use super::*;
 
 /// The limit never falls below the widest call, or that call would wait for ever; nor below the point where
-/// all balancers together keep this many calls at each endpoint, one running and one to follow (i5ac5eb).
+/// all balancers together keep this many calls at each endpoint, one running and one to follow.
 const LIMIT_MIN: f64 = 2.0;
 /// Nor below this share of what they serve at once by their reports: few that refuse would idle the rest.
 const LIMIT_OF_ROOM: f64 = 0.5;
 /// One cut of the limit, and the share of outcomes not accepted that calls for one.
 const LIMIT_CUT: f64 = 0.85;
 const LIMIT_TROUBLE: f64 = 0.125;
-/// A success near the limit adds this where all that serve report to idle (0.5 overshoots under overload).
+/// A success near the limit adds this where all that serve report to idle.
 const LIMIT_CLIMB: f64 = 0.25;
 /// Weight of one outcome in the share of outcomes not accepted.
 pub(super) const OUTCOME_GAIN: f64 = 1.0 / 16.0;
--- a/crates/decide/src/policy/targets.rs
+++ b/crates/decide/src/policy/targets.rs
@@ -123,7 +123,7 @@
     }
 
     /// Pauses an endpoint after a failure that speaks against it, for as long as the failure took to show,
-    /// doubled with each in a row: an endpoint that hangs costs a whole aim each time it is tried (i753040).
+    /// doubled with each in a row: an endpoint that hangs costs a whole aim each time it is tried.
     /// While half the hand is paused the trouble is everybody's, and no reason to pause anybody.
     pub(super) fn fault(&mut self, endpoint: EndpointId, took: Duration) {
         let Some(&i) = self.index.get(&endpoint) else { return };
--- a/crates/decide/tests/limit.rs
+++ b/crates/decide/tests/limit.rs
@@ -60,7 +60,7 @@
 
 #[test]
 fn endpoints_that_hang_do_not_shrink_it_for_all() {
-    // Two in eight hang and hold five calls each, whose time-outs come in a row (i753040).
+    // Two in eight hang and hold five calls each, whose time-outs come in a row.
     let mut d = Driver::with(settings(), &many()[..8]);
     let calls: Vec<_> = (0..40).map(|_| sent(&d.call(UNSAFE).1).expect("the limit is open")).collect();
     let (hung, fine): (Vec<_>, Vec<_>) = calls.into_iter().partition(|c| c.1.0 <= 2);
@@ -133,7 +133,7 @@
 
 #[test]
 fn it_keeps_two_calls_an_endpoint_over_all_siblings() {
-    // Failed before (i5ac5eb): limits of two each left most endpoints idle.
+    // Failed before: limits of two each left most endpoints idle.
     let mut s = crowded(20);
     s.siblings = 20;
     let mut d = Driver::with(s, &many());
--- a/crates/net/src/clients/flow.rs
+++ b/crates/net/src/clients/flow.rs
@@ -114,14 +114,14 @@
         let stages = async {
             loop {
                 match flow.route().await {
-                    Step::Forward(forward) => {
-                        let until = clock.instant(forward.until);
+                    Step::Attempt(attempt) => {
+                        let until = clock.instant(attempt.until);
                         let written = || self.sidecar.counts().relayed(class);
                         let (outcome, report, served) =
-                            self.servers.send(&forward, until, &taken.outgoing, waits, written).await;
-                        let endpoint = forward.target.address;
+                            self.servers.send(&attempt, until, &taken.outgoing, waits, written).await;
+                        let endpoint = attempt.target.address;
                         tracing::debug!(id = taken.id, class, %endpoint, ?outcome, "an attempt has ended");
-                        if forward.book(outcome, report) {
+                        if attempt.book(outcome, report) {
                             return Some(Reply::served(served));
                         }
                     }
--- a/crates/net/src/list/evidence.rs
+++ b/crates/net/src/list/evidence.rs
@@ -1,6 +1,6 @@
 //! What the end of a poll says about discovery.
 
-use super::schedule::{AT_THE_DOOR, Outcome};
+use super::schedule::{Outcome, REJECTED_WITHIN};
 use crate::origin::Origin;
 use cottonpoint_core::PollEvent;
 use std::io::{Error, ErrorKind};
@@ -33,12 +33,12 @@
 /// A failed poll as evidence for the lease on the list.
 pub(super) fn evidence(outcome: Outcome, took: Duration) -> PollEvent {
     match outcome {
-        Outcome::TurnedAway if took < AT_THE_DOOR => PollEvent::Rejected,
+        Outcome::TurnedAway if took < REJECTED_WITHIN => PollEvent::Rejected,
         Outcome::TurnedAway => PollEvent::TurnedAway,
         Outcome::Refused | Outcome::Unconnected => PollEvent::Unreachable,
         Outcome::Silent { .. } => PollEvent::Silent,
         // Where discovery is down, a call may end with a reset in place of 503 (the protocol page).
-        Outcome::Failed if took >= AT_THE_DOOR => PollEvent::TurnedAway,
+        Outcome::Failed if took >= REJECTED_WITHIN => PollEvent::TurnedAway,
         Outcome::Failed
         | Outcome::PathFailed
         | Outcome::Unusable
--- a/crates/net/src/list/schedule.rs
+++ b/crates/net/src/list/schedule.rs
@@ -20,10 +20,10 @@
 //! a poll that waited too long costs discovery as much as one that is served. After a reload the first poll is drawn
 //! over `RELOAD_SPREAD`.
 //!
-//! *A poll that is turned away at the door is made again with truncated exponential backoff.* Where 503 comes at once,
+//! *A poll that is rejected at once is made again with truncated exponential backoff.* Where 503 comes at once,
 //! discovery is alive and its queue is full, also with polls of this fleet: each that is turned away costs it something.
 //! A connection that failed under a poll by an error of the way is made again likewise.
-//! The pause begins at `DOOR_PAUSE_FIRST` and doubles up to `DOOR_PAUSE_MOST`; an answer takes one doubling back. The list
+//! The pause begins at `BACKOFF_FIRST` and doubles up to `BACKOFF_MOST`; an answer takes one doubling back. The list
 //! itself is not used beyond its lease (`cottonpoint_core::Lease`), so a late answer costs requests, never a rule.
 //!
 //! # What is owed
@@ -80,13 +80,13 @@
 const INTERVAL_DRAWN: f64 = 0.1;
 /// A poll that was turned away sooner than this did not stand in the queue: a quarter of the longest time there (1 s,
 /// the site files), more than the way takes.
-pub(super) const AT_THE_DOOR: Duration = Duration::from_millis(250);
-/// The pause after a first poll that was turned away at the door, from half of this to one and a half, drawn.
-const DOOR_PAUSE_FIRST: Duration = Duration::from_millis(600);
+pub(super) const REJECTED_WITHIN: Duration = Duration::from_millis(250);
+/// The pause after a first poll that was rejected at once, from half of this to one and a half, drawn.
+const BACKOFF_FIRST: Duration = Duration::from_millis(600);
 /// The longest such pause, drawn likewise: three tries at least until news is due.
-const DOOR_PAUSE_MOST: Duration = Duration::from_millis(NEWS_DUE.as_millis() as u64 / 3);
+const BACKOFF_MOST: Duration = Duration::from_millis(NEWS_DUE.as_millis() as u64 / 3);
 /// So many doublings reach it.
-const DOOR_DOUBLINGS: u32 = 2;
+const BACKOFF_DOUBLINGS: u32 = 2;
 /// The pause after a call that failed in this process, or on the way, drawn up to twice that: what ran out comes back soon.
 const AGAIN_SOON: Duration = Duration::from_millis(50);
 /// The first pause is not drawn over less than this, whatever is left of the lease.
@@ -178,8 +178,8 @@
     unconfirmed: bool,
     /// Polls that came to nothing since the last answer.
     failures: u32,
-    /// Doublings of the next pause after a poll that is turned away at the door.
-    door_doublings: u32,
+    /// Doublings of the next pause after a poll that is rejected at once.
+    backoff_doublings: u32,
     /// Time for the answer to a poll that does not wait.
     answer: Duration,
 }
@@ -195,7 +195,7 @@
             unheard: false,
             unconfirmed: true,
             failures: 0,
-            door_doublings: 0,
+            backoff_doublings: 0,
             answer: ANSWER_FIRST,
         };
         (schedule, first)
@@ -249,14 +249,14 @@
         let pause = match outcome {
             Outcome::Answered { early } => {
                 (self.failures, self.unconfirmed) = (0, false);
-                self.door_doublings = self.door_doublings.saturating_sub(1);
+                self.backoff_doublings = self.backoff_doublings.saturating_sub(1);
                 return NextPoll::After(early_pause(early, draw).saturating_sub(took));
             }
             Outcome::Silent { waits: true } => SPREAD.mul_f64(draw),
             Outcome::Silent { waits: false } if self.failures < AT_ONCE => SPREAD.mul_f64(draw),
             _ if self.pushed => agent_pause(self.failures, draw),
-            Outcome::TurnedAway if took < AT_THE_DOOR => self.door_pause(draw),
-            Outcome::PathFailed if took <= ANSWER_MOST => self.door_pause(draw),
+            Outcome::TurnedAway if took < REJECTED_WITHIN => self.backoff_pause(draw),
+            Outcome::PathFailed if took <= ANSWER_MOST => self.backoff_pause(draw),
             _ => interval_pause(self.failures, took, spread(lease_left), draw),
         };
         // A way that failed for a moment is no failure of discovery's: the next one is still the first.
@@ -267,9 +267,9 @@
         NextPoll::After(pause)
     }
 
-    fn door_pause(&mut self, draw: f64) -> Duration {
-        let pause = (DOOR_PAUSE_FIRST * (1 << self.door_doublings)).min(DOOR_PAUSE_MOST);
-        self.door_doublings = (self.door_doublings + 1).min(DOOR_DOUBLINGS);
+    fn backoff_pause(&mut self, draw: f64) -> Duration {
+        let pause = (BACKOFF_FIRST * (1 << self.backoff_doublings)).min(BACKOFF_MOST);
+        self.backoff_doublings = (self.backoff_doublings + 1).min(BACKOFF_DOUBLINGS);
         pause.mul_f64(0.5 + draw)
     }
 
--- a/crates/net/src/list/schedule/tests.rs
+++ b/crates/net/src/list/schedule/tests.rs
@@ -91,7 +91,7 @@
 /// Guards against: a sidecar that stays away for an interval, and then another, though discovery is alive and only its
 /// queue was full; and one whose own tries keep the queue full (incident 1: 24 polls in 8 s, all turned away at once).
 #[test]
-fn a_poll_turned_away_at_the_door_is_made_again_with_exponential_backoff() {
+fn a_poll_rejected_at_once_is_made_again_with_exponential_backoff() {
     let (mut schedule, first) = Schedule::moved(false, 1.0);
     let mut ended = |took, draw| pause(schedule.ended(Outcome::TurnedAway, took, NEWS_DUE, draw));
     let first_pauses = [0.5, 0.5, 0.5, 0.5, 0.5].map(|draw| ended(ms(10), draw));
@@ -127,7 +127,7 @@
         let (mut schedule, _) = Schedule::new(false);
         schedule.ended(Outcome::Answered { early: false }, ms(0), NEWS_DUE, 0.5);
         let pauses = [0.0, 1.0].map(|draw| pause(schedule.ended(outcome, ms(300), NEWS_DUE, draw)));
-        assert!(pauses.iter().all(|pause| *pause <= DOOR_PAUSE_MOST), "{outcome:?}: {pauses:?}");
+        assert!(pauses.iter().all(|pause| *pause <= BACKOFF_MOST), "{outcome:?}: {pauses:?}");
         let first = pause(schedule.ended(Outcome::Failed, ms(0), NEWS_DUE, 0.0));
         assert_eq!(first, ms(0), "the next failure is the first, and its pause is drawn");
     }
--- a/crates/net/src/list/schedule/tests/congestion.rs
+++ b/crates/net/src/list/schedule/tests/congestion.rs
@@ -53,7 +53,7 @@
 const TERMS: Discovery = Discovery {
     rate: 150,
     queue_limit: ms(1000),
-    at_the_door: false,
+    rejects_at_once: false,
     turning_away_costs: 1.0,
     others: 0.2,
     outage: Outage::TurnedAway(ms(2000)),
@@ -72,11 +72,16 @@
 /// what it serves.
 const QUEUES: [Discovery; 2] = [TERMS, Discovery { outage: Outage::Refused, ..TERMS }];
 
-/// The same of one that turns away at the door, for a hundredth of the work; while it is down, too.
-const DOORS: [Discovery; 3] = [
-    Discovery { at_the_door: true, turning_away_costs: 0.01, ..QUEUES[0] },
-    Discovery { at_the_door: true, turning_away_costs: 0.01, ..QUEUES[1] },
-    Discovery { at_the_door: true, turning_away_costs: 0.01, outage: Outage::TurnedAway(ms(1)), ..TERMS },
+/// The same of one that rejects at once, for a hundredth of the work; while it is down, too.
+const REJECTING: [Discovery; 3] = [
+    Discovery { rejects_at_once: true, turning_away_costs: 0.01, ..QUEUES[0] },
+    Discovery { rejects_at_once: true, turning_away_costs: 0.01, ..QUEUES[1] },
+    Discovery {
+        rejects_at_once: true,
+        turning_away_costs: 0.01,
+        outage: Outage::TurnedAway(ms(1)),
+        ..TERMS
+    },
 ];
 
 /// Each of them with four draws.
@@ -90,7 +95,7 @@
 #[test]
 fn a_discovery_that_comes_back_gives_every_sidecar_its_list_in_time() {
     for (size, (terms, seed)) in
-        SIZES.into_iter().flat_map(|size| draws(&QUEUES).chain(draws(&DOORS)).map(move |o| (size, o)))
+        SIZES.into_iter().flat_map(|size| draws(&QUEUES).chain(draws(&REJECTING)).map(move |o| (size, o)))
     {
         let figures = learned(size, terms, seed);
         let in_time = figures.in_time >= 1.0 && figures.last.is_some_and(|last| last <= NEWS_DUE);
--- a/crates/net/src/list/schedule/tests/crowd.rs
+++ b/crates/net/src/list/schedule/tests/crowd.rs
@@ -1,7 +1,7 @@
 //! A model in virtual time of one discovery and all the sidecars that poll it, for any schedule of polls.
 //!
 //! Discovery serves polls in turn, each for the same time, and turns away with 503 those for which its queue is too long:
-//! either at the door, or when they have waited too long. It does not learn that a caller has gone, so a poll given up is
+//! either at once, or when they have waited too long. It does not learn that a caller has gone, so a poll given up is
 //! served for nobody. While it is down polls are refused, or turned away after a while. Other callers send polls at a steady
 //! rate and never give up.
 
@@ -62,7 +62,7 @@
     /// A poll is turned away after so long in the queue, or where the queue is as long when it comes.
     pub queue_limit: Duration,
     /// Whether that is seen when it comes.
-    pub at_the_door: bool,
+    pub rejects_at_once: bool,
     /// The part of a service that turning away costs.
     pub turning_away_costs: f64,
     /// Polls of other callers, as a part of the rate.
@@ -117,8 +117,8 @@
     count: u64,
     queue: VecDeque<(Duration, usize, u64)>,
     busy: bool,
-    /// Work for polls turned away at the door that is still to be done.
-    turned_away_at_door: Duration,
+    /// Work for polls rejected at once that is still to be done.
+    rejected_work: Duration,
     random: fastrand::Rng,
     /// What discovery worked on: when, how long, and whether for an answer that was taken.
     work: Vec<(Duration, Duration, bool)>,
@@ -161,7 +161,7 @@
         count: 0,
         queue: VecDeque::new(),
         busy: false,
-        turned_away_at_door: Duration::ZERO,
+        rejected_work: Duration::ZERO,
         random,
         work: Vec::new(),
         begun: Vec::new(),
@@ -233,8 +233,8 @@
             self.at(now + after + WAY, Event::End { caller, poll, heard });
         } else if continued && !self.terms.continued_counts {
             // Goes on waiting, for nothing that is of account here.
-        } else if self.terms.at_the_door && self.queue_time() > self.terms.queue_limit {
-            self.turned_away_at_door += self.service().mul_f64(self.terms.turning_away_costs);
+        } else if self.terms.rejects_at_once && self.queue_time() > self.terms.queue_limit {
+            self.rejected_work += self.service().mul_f64(self.terms.turning_away_costs);
             if caller < self.sidecars.len() {
                 self.at(now + WAY, Event::End { caller, poll, heard: Heard::TurnedAway });
             }
@@ -253,15 +253,15 @@
         self.service() * self.queue.len() as u32
     }
 
-    /// Takes the next poll in turn. What was turned away at the door meanwhile comes first.
+    /// Takes the next poll in turn. What was rejected at once meanwhile comes first.
     fn serve(&mut self, now: Duration) {
         while !self.busy
             && let Some((arrived, caller, poll)) = self.queue.pop_front()
         {
-            let served = now - arrived <= self.terms.queue_limit || self.terms.at_the_door;
+            let served = now - arrived <= self.terms.queue_limit || self.terms.rejects_at_once;
             let useful = if served { self.service() } else { Duration::ZERO };
             let wasted = self.service().mul_f64(if served { 0.0 } else { self.terms.turning_away_costs })
-                + std::mem::take(&mut self.turned_away_at_door);
+                + std::mem::take(&mut self.rejected_work);
             let takes = useful + wasted;
             self.work.push((now, wasted, false));
             self.work.push((now, useful, caller == self.sidecars.len()));
--- a/crates/net/src/list/schedule/tests/deadline.rs
+++ b/crates/net/src/list/schedule/tests/deadline.rs
@@ -124,7 +124,7 @@
                         }
                         // It breaks later, and only then there is something to mend.
                         _ if took > ANSWER_MOST => due = ends + NEWS_DUE,
-                        // It was turned away, or failed, at the door.
+                        // It was turned away, or failed, at once.
                         _ => {}
                     }
                 }
--- a/crates/net/src/servers/mod.rs
+++ b/crates/net/src/servers/mod.rs
@@ -20,7 +20,7 @@
 
 /// An idle connection rests for this long before it is used again: a target may send a second answer some milliseconds
 /// after the first (the standing check's page), and behind the next request's last byte nothing tells whose answer it is.
-/// What comes during the rest ends the connection. At 20 ms the operators' bulk day fell by 0.04.
+/// What comes during the rest ends the connection.
 const REST: Duration = Duration::from_millis(10);
 
 /// So many time-outs in a row make a target's idle connections suspect: one may be a slow request's.
@@ -71,7 +71,7 @@
     terms: RefCell<Terms>,
     executor: Executor,
     idle: RefCell<HashMap<EndpointId, Vec<Idle>>>,
-    /// Forwards in a row that a target let time out without a word.
+    /// Attempts in a row that a target let time out without a word.
     silent: RefCell<HashMap<EndpointId, u32>>,
     next: Cell<u64>,
     open: Rc<Cell<usize>>,
@@ -187,7 +187,7 @@
         oldest.is_some()
     }
 
-    /// Keeps a connection for the next forward.
+    /// Keeps a connection for the next attempt.
     fn put(&self, target: EndpointId, connection: Connection) {
         let number = self.next.get();
         self.next.set(number + 1);
--- a/crates/net/src/servers/send.rs
+++ b/crates/net/src/servers/send.rs
@@ -1,10 +1,10 @@
-//! Send: one forward goes to its target, and what comes back is put in the balancer's terms.
+//! Send: one attempt goes to its target, and what comes back is put in the balancer's terms.
 
 use super::{Connection, Servers};
 use crate::origin::Origin;
 use async_io::Timer;
 use cottonpoint_codec::http::{self, Fault, Head};
-use cottonpoint_core::{Denial, Forward, Halt};
+use cottonpoint_core::{Attempt, Denial, Halt};
 use cottonpoint_decide::*;
 use futures_lite::{AsyncWrite, future};
 use std::cell::Cell;
@@ -30,7 +30,7 @@
     pub body: Vec<u8>,
 }
 
-/// What a target's serving a forward gave.
+/// What a target's serving an attempt gave.
 #[derive(Clone, Debug, Default)]
 pub struct Served {
     /// What its body holds, as a header says.
@@ -39,7 +39,7 @@
     pub body: Vec<u8>,
 }
 
-/// How far a forward has come.
+/// How far an attempt has come.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Progress {
     /// No byte of it is written.
@@ -82,17 +82,17 @@
     }
 }
 
-/// How a forward ended, and the load report that came along.
+/// How an attempt ended, and the load report that came along.
 pub type Ended = (Outcome, Option<LoadReport>, Served);
 
 impl Servers {
-    /// Sends a forward, and waits until it is answered, broken, halted or out of time. To give it up, its
+    /// Sends an attempt, and waits until it is answered, broken, halted or out of time. To give it up, its
     /// connection is closed.
     /// `waits` says, right before its first byte, whether its client still waits; `written` hears once when its last
     /// byte is written.
     pub async fn send(
         &self,
-        forward: &Forward,
+        attempt: &Attempt,
         until: Instant,
         message: &Outgoing,
         waits: impl Fn() -> bool,
@@ -106,31 +106,31 @@
         };
         let halted = async {
             loop {
-                match forward.halted().await {
+                match attempt.halted().await {
                     Halt::Withdrawn => return ended(Outcome::Cancelled),
                     Halt::TargetLeft if !progress.get().has_begun() => return ended(Outcome::Moot),
                     Halt::TargetLeft => {}
                 }
             }
         };
-        let exchange = self.exchange(forward, until, message, &progress, waits, written);
+        let exchange = self.exchange(attempt, until, message, &progress, waits, written);
         let ended = future::or(exchange, future::or(halted, timeout)).await;
-        if forward.wanted() {
-            self.heard(forward.target.id, ended.0);
+        if attempt.wanted() {
+            self.heard(attempt.target.id, ended.0);
         }
         ended
     }
 
     async fn exchange(
         &self,
-        forward: &Forward,
+        attempt: &Attempt,
         until: Instant,
         message: &Outgoing,
         progress: &Cell<Progress>,
         waits: impl Fn() -> bool,
         written: impl FnOnce(),
     ) -> Ended {
-        let target = forward.target;
+        let target = attempt.target;
         let failed = |outcome| (outcome, None, Served::default());
         let (connection, way) = match self.take(target).await {
             Some(connection) => (Ok(connection), Duration::ZERO),
@@ -148,8 +148,8 @@
         progress.set(Progress::NotBegun);
         let bytes = serialize(message, until);
         // Right before each byte: what was not written whole never ran, so it may be given up at any but the last.
-        let may_write = || forward.may_write(progress.get().has_begun(), waits(), way);
-        let begun = || forward.check_begun();
+        let may_write = || attempt.may_write(progress.get().has_begun(), waits(), way);
+        let begun = || attempt.check_begun();
         match write(&connection, &bytes, progress, may_write, begun).await {
             Ok(()) => {}
             Err(NotWritten::Broken(why)) => return failed(not_connected(&why)),
@@ -172,7 +172,7 @@
             Err(_) => return failed(Outcome::Error),
         };
         // What came behind the answer belongs to no request; nor does a target that has left need connections.
-        if keep && connection.buffer.is_empty() && forward.wanted() {
+        if keep && connection.buffer.is_empty() && attempt.wanted() {
             self.put(target.id, connection);
         }
         let outcome = match status {
--- a/crates/program/src/metrics.rs
+++ b/crates/program/src/metrics.rs
@@ -71,9 +71,9 @@
         };
         let ended = family(&mut counts.ended().into_iter());
         registry.register("flows_ended", "Flows that no target's answer ended, by how they ended", ended);
-        let outcomes = counts.forwards().map(|(outcome, n)| (word(outcome), n));
-        let forwards = family(&mut { outcomes });
-        registry.register("forwards", "Forwards to targets, by outcome", forwards);
+        let outcomes = counts.attempts().map(|(outcome, n)| (word(outcome), n));
+        let attempts = family(&mut { outcomes });
+        registry.register("forwards", "Attempts at endpoints, by outcome", attempts);
         let (told, failed) = counts.lists();
         let lists = family(&mut [("told", told), ("failed", failed)].into_iter());
         registry.register("lists", "Lists and changes of discovery, and failures to have them", lists);
--- a/crates/program/tests/sidecar/local_faults.rs
+++ b/crates/program/tests/sidecar/local_faults.rs
@@ -29,10 +29,10 @@
     let flow = embedded.sidecar.admit(NewFlow { class: ClassId(0), tenant: None, due });
     let message = Outgoing { head: "GET /look HTTP/1.1\r\n".to_owned(), body: Vec::new() };
     embedded.run(async {
-        let Step::Forward(forward) = flow.route().await else { panic!("it is sent") };
+        let Step::Attempt(attempt) = flow.route().await else { panic!("it is sent") };
         let until = Instant::now() + given_up;
-        let (outcome, ..) = embedded.servers.send(&forward, until, &message, || true, || ()).await;
-        forward.book(outcome, None);
+        let (outcome, ..) = embedded.servers.send(&attempt, until, &message, || true, || ()).await;
+        attempt.book(outcome, None);
         outcome
     })
 }
