--- a/crates/lab/src/live/discovery.rs
+++ b/crates/lab/src/live/discovery.rs
@@ -144,6 +144,16 @@
     }
 }
 
+/// The form of the answers to polls that name a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerForm {
+    /// The entries that changed since that version.
+    Changes,
+    /// The whole list, which leaves out what drains (the protocol specification allows it in place
+    /// of changes).
+    Whole,
+}
+
 /// The discovery stand-in with its endpoint list.
 pub struct Discovery {
     /// The address at which it accepts polls.
@@ -152,6 +162,7 @@
     /// Each entry with the version in which it last changed, by endpoint. Entries that have `left`
     /// stay, so that they appear among the changes.
     lines: RefCell<BTreeMap<String, (u64, Line)>>,
+    answer_form: Cell<AnswerForm>,
     changed: Event,
     stats: RefCell<ConnectionStats>,
 }
@@ -164,6 +175,7 @@
             address: listener.local_addr()?,
             generation: Cell::new(0),
             lines: RefCell::default(),
+            answer_form: Cell::new(AnswerForm::Changes),
             changed: Event::new(),
             stats: RefCell::default(),
         });
@@ -183,22 +195,35 @@
 
     /// Adds or replaces an entry, which makes a new version of the list and answers open watches.
     pub fn publish(&self, line: Line) {
+        self.publish_all([line]);
+    }
+
+    /// Adds or replaces entries in one new version of the list, and answers open watches.
+    pub fn publish_all(&self, lines: impl IntoIterator<Item = Line>) {
         let generation = self.generation.get() + 1;
         self.generation.set(generation);
-        self.lines.borrow_mut().insert(line.instance_id.clone(), (generation, line));
+        let entries = lines.into_iter().map(|line| (line.instance_id.clone(), (generation, line)));
+        self.lines.borrow_mut().extend(entries);
         self.changed.notify(usize::MAX);
     }
 
+    /// Sets the form of answers to polls that name a version.
+    pub fn set_answer_form(&self, form: AnswerForm) {
+        self.answer_form.set(form);
+    }
+
     /// The JSON answer to a poll: the changes since a version, or the whole list for `None`.
     pub fn answer(&self, known_version: Option<u64>) -> serde_json::Result<Vec<u8>> {
         let lines = self.lines.borrow();
-        let wanted = |(changed, line): &&(u64, Line)| match known_version {
-            Some(known_version) => *changed > known_version,
-            None => line.lifecycle != "left",
+        let form = self.answer_form.get();
+        let wanted = |(changed, line): &&(u64, Line)| match (known_version, form) {
+            (None, _) => line.lifecycle != "left",
+            (Some(_), AnswerForm::Whole) => line.lifecycle == "active",
+            (Some(known_version), AnswerForm::Changes) => *changed > known_version,
         };
         let instances = lines.values().filter(wanted).map(|(_, line)| line).collect();
-        let answer =
-            Answer { generation: self.generation.get(), reset: known_version.is_none(), instances };
+        let reset = known_version.is_none() || form == AnswerForm::Whole;
+        let answer = Answer { generation: self.generation.get(), reset, instances };
         serde_json::to_vec(&answer)
     }
 
--- a/crates/lab/src/live/endpoint.rs
+++ b/crates/lab/src/live/endpoint.rs
@@ -11,7 +11,7 @@
 use futures_lite::AsyncWriteExt;
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -84,7 +84,33 @@
     /// Starts listening on a new port and adds the endpoint to the list. With `fresh` the list has
     /// the present as its start time; otherwise it counts as started long ago.
     pub fn start(self: &Rc<Self>, fresh: bool) -> io::Result<()> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = self.listen(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let started_at_ms = if fresh { since_epoch.as_millis() as u64 } else { 0 };
+        *self.list_entry.borrow_mut() = Some(Line {
+            instance_id: self.name.clone(),
+            host_port: address,
+            zone: "here".to_owned(),
+            machine_type: "plain".to_owned(),
+            cell: 0,
+            lifecycle: "active",
+            started_at_ms,
+        });
+        self.set_lifecycle("active");
+        Ok(())
+    }
+
+    /// Starts listening again at the address of its entry in the list, after it has been stopped.
+    /// The list is left as it is.
+    pub fn listen_again(self: &Rc<Self>) -> io::Result<()> {
+        let address = self.list_entry.borrow().as_ref().map(|entry| entry.host_port);
+        let address = address.ok_or_else(|| io::Error::other("it was never started"))?;
+        self.listen(address).map(drop)
+    }
+
+    /// Accepts and serves connections at an address. Returns the address, with its port.
+    fn listen(self: &Rc<Self>, address: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let listener = Async::new(listener)?;
         let connections: Rc<RefCell<Vec<Task<()>>>> = Rc::default();
@@ -99,26 +125,19 @@
                 tasks.push(task);
             }
         });
-        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        let started_at_ms = if fresh { since_epoch.as_millis() as u64 } else { 0 };
         *self.process.borrow_mut() = Some(Process { _accept: accept, connections });
-        *self.list_entry.borrow_mut() = Some(Line {
-            instance_id: self.name.clone(),
-            host_port: address,
-            zone: "here".to_owned(),
-            machine_type: "plain".to_owned(),
-            cell: 0,
-            lifecycle: "active",
-            started_at_ms,
-        });
-        self.set_lifecycle("active");
-        Ok(())
+        Ok(address)
+    }
+
+    /// Its entry in the list with another lifecycle; `None` if it was never started.
+    pub fn entry_with(&self, lifecycle: &'static str) -> Option<Line> {
+        self.list_entry.borrow().as_ref().map(|entry| Line { lifecycle, ..entry.clone() })
     }
 
     /// Changes the lifecycle of its entry in the list, also after it has been stopped.
     pub fn set_lifecycle(&self, lifecycle: &'static str) {
-        if let Some(list_entry) = &*self.list_entry.borrow() {
-            self.discovery.publish(Line { lifecycle, ..list_entry.clone() });
+        if let Some(entry) = self.entry_with(lifecycle) {
+            self.discovery.publish(entry);
         }
     }
 
--- a/crates/lab/tests/sidecar_under_load/mod.rs
+++ b/crates/lab/tests/sidecar_under_load/mod.rs
@@ -26,9 +26,9 @@
 const NOTIFICATION_TIMEOUT: Duration = Duration::from_secs(6);
 /// After that, no new attempt may be sent once this time has passed: 0.5 s by the settings and 0.05
 /// s by the protocol specification.
-const DRAIN_GRACE: Duration = Duration::from_millis(550);
+pub const DRAIN_GRACE: Duration = Duration::from_millis(550);
 /// Allowance for stand-ins that wait for a processor: they may see an attempt this much late.
-const SCHEDULING_SLACK: Duration = Duration::from_millis(200);
+pub const SCHEDULING_SLACK: Duration = Duration::from_millis(200);
 /// How long attempts are counted after the grace period.
 const OBSERVATION_TIME: Duration = Duration::from_secs(4);
 /// Answers with status 503 at once, as a discovery does whose queue is full.
@@ -36,7 +36,7 @@
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 const REQUESTS_PER_SECOND: f64 = 60.0;
 /// Age of a watch after which it is no longer in discovery's queue.
-const MIN_WATCH_AGE: Duration = Duration::from_secs(3);
+pub const MIN_WATCH_AGE: Duration = Duration::from_secs(3);
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// What cuts the process off from changes of the list.
@@ -57,13 +57,57 @@
     Always,
 }
 
+/// How discovery publishes the list to the sidecar.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Publication {
+    /// The sidecar asks discovery for the list.
+    OnRequest,
+    /// An agent on the sidecar's machine holds the list.
+    Pushed,
+}
+
+impl Publication {
+    /// The value of the setting `discovery`.
+    fn setting(self) -> &'static str {
+        match self {
+            Publication::OnRequest => "on_request",
+            Publication::Pushed => "pushed",
+        }
+    }
+}
+
+/// The parts of a test.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// Number of endpoints of the sidecar's tier.
+    pub endpoints: usize,
+    /// How discovery publishes the list.
+    pub publication: Publication,
+    /// How the second discovery handles polls.
+    pub second_discovery: Availability,
+}
+
+impl Setup {
+    /// Three endpoints, and discoveries that are asked for the list.
+    fn with_second_discovery(second_discovery: Availability) -> Setup {
+        Setup { endpoints: 3, publication: Publication::OnRequest, second_discovery }
+    }
+}
+
+/// A discovery that serves more polls than a test makes.
+pub fn serving() -> Availability {
+    Availability::Serving(Capacity::per_second(1000, Duration::from_secs(1)))
+}
+
 /// Runs a test with a sidecar under load and stand-ins of its own.
 fn with_sidecar<T>(test: impl AsyncFnOnce(SidecarUnderLoad) -> T) -> T {
+    with_setup(Setup::with_second_discovery(serving()), test)
+}
+
+/// Runs a test with these parts.
+pub fn with_setup<T>(setup: Setup, test: impl AsyncFnOnce(SidecarUnderLoad) -> T) -> T {
     let executor: Executor = Rc::new(LocalExecutor::new());
-    let serving = Availability::Serving(Capacity::per_second(1000, Duration::from_secs(1)));
-    async_io::block_on(
-        executor.run(async { test(SidecarUnderLoad::start(&executor, serving).await).await }),
-    )
+    async_io::block_on(executor.run(async { test(SidecarUnderLoad::start(&executor, setup).await).await }))
 }
 
 /// Ends the watch by a discovery with a full queue while the process cannot connect, and lets one
@@ -127,9 +171,7 @@
 /// Cuts a serving sidecar off from changes, lets an endpoint drain, and returns the number of
 /// attempts that this endpoint receives after its grace period.
 pub fn attempts_after_drain_grace(second_discovery: Availability, cut_off: CutOff) -> u64 {
-    let executor: Executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(async {
-        let sidecar = SidecarUnderLoad::start(&executor, second_discovery).await;
+    with_setup(Setup::with_second_discovery(second_discovery), async |sidecar: SidecarUnderLoad| {
         sidecar.cut_off(cut_off).await;
         sidecar.endpoints[0].set_lifecycle("leaving");
         Timer::after(NOTIFICATION_TIMEOUT + DRAIN_GRACE + SCHEDULING_SLACK).await;
@@ -147,15 +189,21 @@
         assert!(within_grace > 0, "the draining endpoint received attempts within its grace period");
         assert_eq!(stats.unanswered.get(), 0, "each request has its answer");
         sidecar.attempts(0) - within_grace
-    }))
+    })
 }
 
 /// A sidecar process under load, its endpoints, and two discoveries with the same list.
 pub struct SidecarUnderLoad {
-    endpoints: Vec<Rc<EndpointStandIn>>,
-    discoveries: [Rc<LimitedDiscovery>; 2],
-    clients: Rc<Clients>,
+    /// The endpoints of the sidecar's tier.
+    pub endpoints: Vec<Rc<EndpointStandIn>>,
+    /// The two discoveries.
+    pub discoveries: [Rc<LimitedDiscovery>; 2],
+    /// The clients of the sidecar.
+    pub clients: Rc<Clients>,
     process: Process,
+    /// The list that both discoveries serve.
+    pub list: Rc<Discovery>,
+    publication: Publication,
     config: PathBuf,
     known: Value,
     /// While this file exists, connects of the process to the first discovery fail with the error
@@ -167,16 +215,16 @@
 
 impl SidecarUnderLoad {
     /// Starts all parts, and waits until the process watches the first discovery and serves.
-    async fn start(executor: &Executor, second_discovery: Availability) -> SidecarUnderLoad {
+    async fn start(executor: &Executor, setup: Setup) -> SidecarUnderLoad {
         let list = Discovery::start(executor).expect("a list");
-        let endpoints: Vec<_> =
-            (0..3).map(|index| EndpointStandIn::new(&format!("s{index}"), 1.0, executor, &list)).collect();
+        let endpoints: Vec<_> = (0..setup.endpoints)
+            .map(|index| EndpointStandIn::new(&format!("s{index}"), 1.0, executor, &list))
+            .collect();
         endpoints.iter().for_each(|endpoint| endpoint.start(false).expect("the stand-in listens"));
-        let serving = Availability::Serving(Capacity::per_second(1000, Duration::from_secs(1)));
         let discovery = |availability| {
             LimitedDiscovery::start(executor, list.clone(), 1, availability).expect("the stand-in listens")
         };
-        let discoveries = [discovery(serving), discovery(second_discovery)];
+        let discoveries = [discovery(serving()), discovery(setup.second_discovery)];
         let known: Value = serde_json::from_slice(&list.answer(None).expect("a list")).expect("JSON");
 
         let folder = tempfile::tempdir().expect("a folder");
@@ -184,7 +232,7 @@
             (folder.path().join("config.json"), folder.path().join("cottonpoint.toml"));
         let text = "[log]\nform = \"json\"\n\n[metrics]\nlisten = \"127.0.0.1:0\"\n";
         fs::write(&operator, text).expect("a file");
-        write_config(&config, discoveries[0].address(0), &known);
+        write_config(&config, discoveries[0].address(0), &known, setup.publication);
         let connect_error = folder.path().join("connect-error");
         let faults = format!(
             "connect_error_file={};connect_port={}",
@@ -210,6 +258,8 @@
             discoveries,
             clients,
             process,
+            list,
+            publication: setup.publication,
             config,
             known,
             connect_error,
@@ -254,7 +304,7 @@
         };
         match how {
             CutOff::Reload => {
-                write_config(&self.config, self.discoveries[1].address(0), &self.known);
+                write_config(&self.config, self.discoveries[1].address(0), &self.known, self.publication);
                 self.process.signal(Signal::HUP).expect("the process runs");
             }
             CutOff::OverloadedDiscovery => drop(self.discoveries[0].set_availability(REJECTS_AT_ONCE)),
@@ -271,25 +321,37 @@
         }
     }
 
+    /// Changes the lifecycle of all endpoints in one version of the list.
+    pub fn set_all_lifecycles(&self, lifecycle: &'static str) {
+        self.list.publish_all(self.endpoints.iter().filter_map(|endpoint| endpoint.entry_with(lifecycle)));
+    }
+
+    /// Number of attempts that all endpoints together have received.
+    pub fn all_attempts(&self) -> u64 {
+        (0..self.endpoints.len()).map(|endpoint| self.attempts(endpoint)).sum()
+    }
+
     /// Number of attempts that an endpoint has received.
-    fn attempts(&self, endpoint: usize) -> u64 {
+    pub fn attempts(&self, endpoint: usize) -> u64 {
         let endpoint = &self.endpoints[endpoint];
         endpoint.served.get() + endpoint.rejected.get() + endpoint.active_requests() as u64
     }
 }
 
-fn write_config(file: &Path, discovery: SocketAddr, known: &Value) {
+fn write_config(file: &Path, discovery: SocketAddr, known: &Value, publication: Publication) {
+    let mut settings = settings(&json!([class("view", "read_like", 1.0, 500, 1500)]));
+    settings["discovery"] = publication.setting().into();
     let configuration = json!({
         "name": "p0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
         "limits": { "sockets": 256 }, "known": known,
-        "settings": settings(&json!([class("view", "read_like", 1.0, 500, 1500)])),
+        "settings": settings,
     });
     let temporary = file.with_extension("new");
     fs::write(&temporary, configuration.to_string()).expect("a file");
     fs::rename(temporary, file).expect("a file");
 }
 
-async fn wait_until(what: &str, limit: Duration, holds: impl Fn() -> bool) {
+pub async fn wait_until(what: &str, limit: Duration, holds: impl Fn() -> bool) {
     let started_at = Instant::now();
     while !holds() {
         assert!(started_at.elapsed() < limit, "{what}");
