Apply an empty whole list: what it does not name is gone

Cause: Watcher::parse refused a whole list without entries while the list held had some, and the old list stayed in use until the lease ran out. Where it is wrong one side breaks a rule: to believe an empty list costs refusals, to disbelieve a true one sends to endpoints that are gone.

--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -268,7 +268,7 @@
     /// Passes the answer to a poll that took `took` on to the sidecar.
     fn apply_update(&self, ListUpdate { kind, entries, .. }: ListUpdate, took: Duration) {
         let (generation, lines) = (self.generation, entries.len());
-        if lines > 0 {
+        if lines > 0 || kind == ListKind::Full {
             tracing::info!(
                 generation,
                 lines,
@@ -342,14 +342,10 @@
         self.endpoint_connections.retain_idle(|endpoint| self.sidecar.takes_work(endpoint));
     }
 
-    /// Parses an answer into the core's types. An empty list that would replace a list with
-    /// endpoints is an error.
+    /// Parses an answer into the core's types.
     fn parse(&self, body: &[u8]) -> io::Result<(Answer, (ListKind, Vec<EndpointRecord>))> {
         let answer: Answer = serde_json::from_slice(body)?;
         let list = answer.listed(&self.names).map_err(io::Error::other)?;
-        if answer.reset && list.1.is_empty() && self.sidecar.has_endpoints() {
-            return Err(io::Error::other("the list is empty, but the one held has endpoints"));
-        }
         Ok((answer, list))
     }
 }
--- a/crates/program/tests/sidecar/list.rs
+++ b/crates/program/tests/sidecar/list.rs
@@ -123,3 +123,32 @@
     assert!(requests.recv().expect("an attempt").starts_with("GET /look"));
     sidecar.stop_and_join();
 }
+
+/// Guards against the refusal of an empty whole list (report 2c34d4): the list held stayed in use,
+/// though what a whole list does not name is gone. The list may be empty at any time, and entries
+/// may follow at any time.
+#[test]
+fn empty_whole_list_removes_all_endpoints() {
+    for pushed in [false, true] {
+        let (endpoint, discovery) = (ScriptedServer::new(), ScriptedServer::new());
+        let listed = [instance_json("t0", endpoint.address, "active")];
+        let known = list_json(1, true, &listed);
+        let config = config_json(discovery.address, &known, 1024);
+        let config = if pushed { config.replace("on_request", "pushed") } else { config };
+        let requests = endpoint.share().echo_requests();
+        let sidecar = TestSidecar::start(&config);
+        let mut poll = discovery.accept();
+        assert!(sidecar.request(LOOK).starts_with("HTTP/1.1 200"));
+        requests.recv().expect("an attempt");
+        poll.reply("200 OK", "", &list_json(2, true, &[]));
+        // The list is applied: the watch goes on from its version, on the same connection.
+        assert!(poll.read_next().starts_with("GET /registry/instances?from=2&"), "{}", poll.text);
+        let refused = sidecar.request(LOOK);
+        assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+        assert!(requests.try_recv().is_err(), "a removed endpoint gets no attempt");
+        poll.reply("200 OK", "", &list_json(3, false, &listed));
+        poll.read_next();
+        assert!(sidecar.request(LOOK).starts_with("HTTP/1.1 200"));
+        sidecar.stop_and_join();
+    }
+}
