Read what has arrived on superseded polls before a change of the address drops one

Five new configurations in a row could throw away a change that had arrived: the poll of the first was dropped, with the answer in its socket, before it was read. Callers would have been sent to an endpoint that drains until a later answer, 4 s after the first reload at most.

Cause: Watcher::run asked for a change of the address before the ends of polls. Evidence: forced on an executor that the test drives, red before (the next poll asks from the old version), green now.

--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -128,7 +128,8 @@
                 async { WatchEvent::DiscoveryMoved(next_discovery_address(&discovery_changes).await) };
             let superseded_end = async { WatchEvent::SupersededPollEnded(superseded.next().await) };
             let poll_end = self.drive_poll(&mut state, &subscriptions);
-            match future::or(moved_event, future::or(superseded_end, poll_end)).await {
+            // What has arrived is read before a change of the address drops a poll.
+            match future::or(superseded_end, future::or(poll_end, moved_event)).await {
                 WatchEvent::PollEnded(end) => {
                     if self.handle_poll_end(end, &mut state, &mut outage_log) {
                         superseded.clear();
--- a/crates/program/tests/sidecar/crossing.rs
+++ b/crates/program/tests/sidecar/crossing.rs
@@ -111,3 +111,25 @@
     assert!(!follower.embedded.sidecar.is_suspended());
     assert!(!follower.takes_work("t0"));
 }
+
+/// Guards against discarding an answer that had arrived when one more change of the address than
+/// there is room for superseded polls drops the oldest.
+#[test]
+fn answer_received_before_the_oldest_superseded_poll_is_dropped_is_applied() {
+    let before = ScriptedServer::new();
+    let follower = Follower::start(&before);
+    let mut watch = follower.wait_for_poll(&before);
+    let others = [(); 5].map(|()| ScriptedServer::new());
+    let (last, earlier) = others.split_last().expect("five");
+    let polls = earlier.iter().map(|discovery| {
+        follower.move_to(discovery);
+        follower.wait_for_poll(discovery)
+    });
+    let polls: Vec<_> = polls.collect();
+    watch.reply("200 OK", "", &list_json(2, false, &two_endpoints(true)[..1]));
+    follower.move_to(last);
+    let next = follower.wait_for_poll(last);
+    assert!(next.text.starts_with("GET /registry/instances?from=2&"), "{}", next.text);
+    assert!(!follower.takes_work("t0"));
+    drop(polls);
+}
