Ask for the whole list after a status that is neither 200 nor 503

A discovery that does not know the version held, and says so with a 4xx or 500, was asked for the changes since that version for ever: the sidecar would have refused its callers from the expiry of its lease on. Evidence: rejected_version_is_followed_by_a_poll_for_the_whole_list with 400, 404, 410 and 500: passes; the poll before this commit asked from=1 again (the same row of discovery.rs, empty 503, still does).

--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -235,6 +235,10 @@
             }
             self.sidecar.list_failed();
         }
+        if *outcome == PollOutcome::ErrorStatus {
+            // Discovery may not know the version held.
+            self.generation = None;
+        }
         let next = self.schedule_next(schedule, *outcome, took);
         self.log_failure(error, *outcome, took, next);
         next
--- a/crates/program/tests/sidecar/discovery.rs
+++ b/crates/program/tests/sidecar/discovery.rs
@@ -165,3 +165,24 @@
     assert!(requests.recv().expect("an attempt").starts_with("GET /look"));
     sidecar.stop_and_join();
 }
+
+/// Guards against polling for ever for the changes since a version that discovery does not know.
+#[test]
+fn rejected_version_is_followed_by_a_poll_for_the_whole_list() {
+    for status in ["400 Bad Request", "404 Not Found", "410 Gone", "500 Internal Server Error"] {
+        let (first, second, discovery) =
+            (ScriptedServer::new(), ScriptedServer::new(), ScriptedServer::new());
+        let sidecar = TestSidecar::with_endpoints(&[first.address], &discovery);
+        let mut poll = discovery.accept();
+        assert!(poll.text.starts_with("GET /registry/instances?from=1&"), "{}", poll.text);
+        poll.reply(status, "", "");
+        let mut poll = discovery.accept();
+        assert!(poll.text.starts_with("GET /registry/instances HTTP"), "{status}: {}", poll.text);
+        poll.reply("200 OK", "", &list_json(1, true, &[instance_json("t1", second.address, "active")]));
+        poll.read_next();
+        let requests = second.echo_requests();
+        assert!(sidecar.request(LOOK).starts_with("HTTP/1.1 200"));
+        assert!(requests.recv().expect("an attempt").starts_with("GET /look"));
+        sidecar.stop_and_join();
+    }
+}
