Apply an answer of discovery though one of its entries is faulty

One entry with an unknown lifecycle or without a usable address spoiled the whole answer: what it said of other endpoints (one that drains, one that left without an address) was set aside, and callers were sent there.

What an answer says counts as told, entry by entry. The faulty one is a draining endpoint now, so it is sent nothing; the others are applied, a missing or null zone, kind, cell or start time included. A configuration's known list is still refused, by its key.

--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -9,7 +9,7 @@
 mod superseded;
 mod update;
 
-pub use answer::{Answer, NameTable};
+pub use answer::{Answer, Entries, EntryFault, FaultyEntry, NameTable};
 
 use crate::servers::EndpointConnections;
 use async_channel::Receiver;
--- a/crates/net/src/list/update.rs
+++ b/crates/net/src/list/update.rs
@@ -4,26 +4,27 @@
 //! reported to the sidecar as one that could not be, which bounds the lease on the list held. No
 //! answer is dropped silently, except one to a superseded poll that is no newer than the list held.
 
+use super::Watcher;
+use super::answer::{Answer, Entries};
 use super::poll::{PollEnd, PollFailure, PollResponse};
 use super::schedule::PollOutcome;
-use super::{Answer, Watcher};
-use cottonpoint_core::{EndpointRecord, PollEvent};
+use cottonpoint_core::PollEvent;
 use cottonpoint_decide::{ListKind, Time};
 use std::io;
 use std::time::Duration;
 
 /// The content of an answer, and whether it came early (see `schedule`).
 pub(super) struct ListUpdate {
-    kind: ListKind,
-    entries: Vec<EndpointRecord>,
+    entries: Entries,
     /// Whether it came without an update before the poll's hold time was over.
     pub early: bool,
 }
 
 impl Watcher {
     /// Passes the answer to a poll that took `took` on to the sidecar.
-    pub(super) fn apply_update(&self, ListUpdate { kind, entries, .. }: ListUpdate, took: Duration) {
-        let (generation, lines) = (self.generation, entries.len());
+    pub(super) fn apply_update(&self, ListUpdate { entries, .. }: ListUpdate, took: Duration) {
+        let Entries { kind, records, .. } = entries;
+        let (generation, lines) = (self.generation, records.len());
         if lines > 0 || kind == ListKind::Full {
             tracing::info!(
                 generation,
@@ -34,7 +35,7 @@
             );
         }
         let started_at = self.sidecar.clock().now() - took;
-        self.sidecar.apply_answer(kind, &entries, started_at);
+        self.sidecar.apply_answer(kind, &records, started_at);
         self.endpoint_connections.retain_idle(|endpoint| self.sidecar.takes_work(endpoint));
     }
 
@@ -46,7 +47,7 @@
         from_generation: Option<u64>,
         before_hold_ended: bool,
     ) -> Result<ListUpdate, PollFailure> {
-        let (answer, (kind, entries)) = self.parse(body).map_err(PollFailure::unusable)?;
+        let (answer, entries) = self.parse(body).map_err(PollFailure::unusable)?;
         let is_older = self.generation.is_some_and(|held| answer.generation < held);
         if is_older && self.generation != from_generation {
             // An answer to a superseded poll has brought a newer list in the meantime.
@@ -59,9 +60,9 @@
             return Err(PollFailure::unusable(error));
         }
         let is_new_generation = self.generation != Some(answer.generation);
-        let has_update = is_new_generation && (answer.reset || !entries.is_empty());
+        let has_update = is_new_generation && (answer.reset || !entries.records.is_empty());
         self.generation = Some(answer.generation);
-        Ok(ListUpdate { kind, entries, early: !has_update && before_hold_ended })
+        Ok(ListUpdate { entries, early: !has_update && before_hold_ended })
     }
 
     /// Applies the answer to a poll that a reload has superseded, if it is newer than the list
@@ -75,7 +76,7 @@
             }
             Err(_) => return,
         };
-        let (answer, (kind, entries)) = match self.parse(&body) {
+        let (answer, entries) = match self.parse(&body) {
             Ok(parsed) => parsed,
             Err(error) => return self.discard_superseded(end.answer_began, &error),
         };
@@ -86,7 +87,8 @@
             let error = io::Error::other("the answer changes a list that is not held");
             return self.discard_superseded(end.answer_began, &error);
         }
-        let (generation, lines) = (answer.generation, entries.len());
+        let Entries { kind, records, .. } = entries;
+        let (generation, lines) = (answer.generation, records.len());
         tracing::info!(
             generation,
             lines,
@@ -94,7 +96,7 @@
             "received a list update from the previous discovery address"
         );
         self.generation = Some(generation);
-        self.sidecar.apply_list(kind, &entries);
+        self.sidecar.apply_list(kind, &records);
         self.endpoint_connections.retain_idle(|endpoint| self.sidecar.takes_work(endpoint));
     }
 
@@ -107,9 +109,13 @@
     }
 
     /// Parses an answer into the core's types.
-    fn parse(&self, body: &[u8]) -> io::Result<(Answer, (ListKind, Vec<EndpointRecord>))> {
+    fn parse(&self, body: &[u8]) -> io::Result<(Answer, Entries)> {
         let answer: Answer = serde_json::from_slice(body)?;
-        let list = answer.listed(&self.names).map_err(io::Error::other)?;
-        Ok((answer, list))
+        let entries = answer.entries(&self.names);
+        if let Some(first) = entries.faulty.first() {
+            let count = entries.faulty.len();
+            tracing::warn!(%first, count, "entries of the list cannot be used; their endpoints are sent nothing");
+        }
+        Ok((answer, entries))
     }
 }
--- a/crates/program/src/config.rs
+++ b/crates/program/src/config.rs
@@ -169,7 +169,9 @@
         if let Some(known) = &mut known {
             known.reset = true;
             let names = NameTable { zones: platform.zones.clone(), kinds: platform.kinds.clone() };
-            known.listed(&names).map_err(|e| config_error("known", e))?;
+            if let Some(faulty) = known.entries(&names).faulty.first() {
+                return Err(config_error("known", faulty));
+            }
         }
         // A request in progress holds a connection on each side. Clients keep some more open, and
         // as many again are opened without a request.
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -116,9 +116,8 @@
     sidecar.set_drain_grace(settings.drain_grace);
     let endpoint_connections = EndpointConnections::new(pool_settings(&config), executor.clone());
     // The balancer sets its first timer with its first event, so it is given an empty list too.
-    let known = config.known.as_ref().and_then(|k| k.listed(&names).ok());
-    let (kind, listed) = known.unwrap_or((ListKind::Full, Vec::new()));
-    sidecar.apply_list(kind, &listed);
+    let known = config.known.as_ref().map(|known| known.entries(&names).records);
+    sidecar.apply_list(ListKind::Full, &known.unwrap_or_default());
     let generation = config.known.as_ref().map(|k| k.generation);
     let (address_updates, discovery_changes) = async_channel::unbounded();
     let watcher = Watcher {
