Take the answer to a poll for the whole list for the whole list, whatever it calls itself

A whole list that does not say reset (the key left out, or false) was applied as changes: what it did not name stayed in use, and callers were sent to endpoints that are gone. Where the guess is wrong the sidecar refuses; the other way round it breaks the rule on drains.

--- a/crates/net/src/list/update.rs
+++ b/crates/net/src/list/update.rs
@@ -47,7 +47,7 @@
         from_generation: Option<u64>,
         before_hold_ended: bool,
     ) -> Result<ListUpdate, PollFailure> {
-        let (answer, entries) = self.parse(body).map_err(PollFailure::unusable)?;
+        let (answer, entries) = self.parse(body, from_generation).map_err(PollFailure::unusable)?;
         let is_older = self.generation.is_some_and(|held| answer.generation < held);
         if is_older && self.generation != from_generation {
             // An answer to a superseded poll has brought a newer list in the meantime.
@@ -76,7 +76,7 @@
             }
             Err(_) => return,
         };
-        let (answer, entries) = match self.parse(&body) {
+        let (answer, entries) = match self.parse(&body, end.from_generation) {
             Ok(parsed) => parsed,
             Err(error) => return self.discard_superseded(end.answer_began, &error),
         };
@@ -108,9 +108,11 @@
         self.sidecar.record_poll(PollEvent::SupersededUnusable { since });
     }
 
-    /// Parses an answer into the core's types.
-    fn parse(&self, body: &[u8]) -> io::Result<(Answer, Entries)> {
-        let answer: Answer = serde_json::from_slice(body)?;
+    /// Parses the answer to a poll for the changes since `from_generation` into the core's types.
+    fn parse(&self, body: &[u8], from_generation: Option<u64>) -> io::Result<(Answer, Entries)> {
+        let mut answer: Answer = serde_json::from_slice(body)?;
+        // A poll that names no version asks for the whole list.
+        answer.reset |= from_generation.is_none();
         let entries = answer.entries(&self.names);
         if let Some(first) = entries.faulty.first() {
             let count = entries.faulty.len();
--- a/crates/program/tests/sidecar/discovery.rs
+++ b/crates/program/tests/sidecar/discovery.rs
@@ -214,3 +214,23 @@
         sidecar.stop_and_join();
     }
 }
+
+/// Guards against taking the answer to a poll for the whole list for changes, where it does not say
+/// that it is the whole list: what it does not name would stay in use.
+#[test]
+fn answer_to_a_poll_for_the_whole_list_replaces_the_list() {
+    let (held, listed, discovery) = (ScriptedServer::new(), ScriptedServer::new(), ScriptedServer::new());
+    let sidecar = TestSidecar::with_endpoints(&[held.address], &discovery);
+    discovery.accept().reply("404 Not Found", "", "");
+    let mut poll = discovery.accept();
+    assert!(poll.text.starts_with("GET /registry/instances HTTP"), "{}", poll.text);
+    let whole = list_json(3, false, &[instance_json("t1", listed.address, "active")]);
+    poll.reply("200 OK", "", &whole.replace("\"reset\":false,", ""));
+    poll.read_next();
+    let (of_held, of_listed) = (held.echo_requests(), listed.echo_requests());
+    for _ in 0..8 {
+        assert!(sidecar.request(LOOK).starts_with("HTTP/1.1 200"));
+    }
+    assert_eq!((of_held.try_iter().count(), of_listed.try_iter().count()), (0, 8));
+    sidecar.stop_and_join();
+}
