Ask again before a whole list of an older version is applied

A whole list of an older version than the one held was applied at once. Where versions begin anew that is right; where the answer is an old one it brings endpoints back that are gone, and callers are sent to them.

--- a/crates/net/src/list/update.rs
+++ b/crates/net/src/list/update.rs
@@ -49,16 +49,14 @@
     ) -> Result<ListUpdate, PollFailure> {
         let (answer, entries) = self.parse(body, from_generation).map_err(PollFailure::unusable)?;
         let is_older = self.generation.is_some_and(|held| answer.generation < held);
-        if is_older && self.generation != from_generation {
-            // An answer to a superseded poll has brought a newer list in the meantime.
+        if is_older {
+            if self.generation == from_generation {
+                // Discovery does not know the version held: the next poll asks for the whole list,
+                // which is applied whatever its version.
+                self.generation = None;
+            }
             return Err(PollFailure::unusable(io::Error::other("the answer is older than the list held")));
         }
-        if is_older && !answer.reset {
-            // Other changes may have been missed too: the next poll asks for the whole list.
-            self.generation = None;
-            let error = io::Error::other("the answer changes an older list than the one held");
-            return Err(PollFailure::unusable(error));
-        }
         let is_new_generation = self.generation != Some(answer.generation);
         let has_update = is_new_generation && (answer.reset || !entries.records.is_empty());
         self.generation = Some(answer.generation);
--- a/crates/program/tests/sidecar/list.rs
+++ b/crates/program/tests/sidecar/list.rs
@@ -226,6 +226,7 @@
         with_length("200 OK", &left.replace("\"generation\":8,", "")),
         with_length("200 OK", &left.replace("\"generation\":8", "\"generation\":3")),
         with_length("200 OK", &left.replace("\"generation\":8", "\"generation\":-1")),
+        with_length("200 OK", &list_json(3, true, &[instance_json("t0", nowhere, "active")])),
         // Cut: in its head, after it, and in its body.
         "HTTP/1.1 2".to_owned(),
         format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", left.len()),
