--- a/crates/lab/src/soak/discovery.rs
+++ b/crates/lab/src/soak/discovery.rs
@@ -1,10 +1,12 @@
 //! The discovery stand-in of a soak: one endpoint list, two addresses for each process, and the
 //! handling of polls by the current [`DiscoveryCondition`].
 
+mod answers;
+
 use super::addresses;
-use super::plan::{DiscoveryCondition, WatchFault};
+use super::plan::{AnswerStyle, DiscoveryCondition, WatchFault};
 use super::records::*;
-use crate::live::discovery::{Answers, Line};
+use crate::live::discovery::Line;
 use crate::live::{Executor, is_connected};
 use async_io::{Async, Timer};
 use cottonpoint_codec::buffer::Buffer;
@@ -12,7 +14,7 @@
 use event_listener::Event;
 use futures_lite::{AsyncWriteExt, future};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -53,6 +55,9 @@
     condition: Cell<DiscoveryCondition>,
     condition_changed: Event,
     watch_fault: Cell<(u64, WatchFault)>,
+    answer_style: Cell<AnswerStyle>,
+    /// When a watch was last answered at each address.
+    last_answers: RefCell<HashMap<SocketAddr, Instant>>,
     version: Cell<u64>,
     /// Each line of the list with the version in which it last changed.
     lines: RefCell<BTreeMap<String, (u64, Line)>>,
@@ -76,6 +81,8 @@
             condition: Cell::new(DiscoveryCondition::Up),
             condition_changed: Event::new(),
             watch_fault: Cell::new((0, WatchFault::Reset)),
+            answer_style: Cell::new(AnswerStyle::Changes),
+            last_answers: RefCell::default(),
             version: Cell::new(0),
             lines: RefCell::default(),
             list_changed: Event::new(),
@@ -107,15 +114,21 @@
         Ok(addresses)
     }
 
-    /// Updates a line of the list and returns the new version.
-    pub fn update_line(&self, line: Line) -> u64 {
+    /// Updates lines of the list in one new version, which is returned.
+    pub fn update_lines(&self, lines: impl IntoIterator<Item = Line>) -> u64 {
         let version = self.version.get() + 1;
         self.version.set(version);
-        self.lines.borrow_mut().insert(line.instance_id.clone(), (version, line));
+        let lines = lines.into_iter().map(|line| (line.instance_id.clone(), (version, line)));
+        self.lines.borrow_mut().extend(lines);
         self.list_changed.notify(usize::MAX);
         version
     }
 
+    /// Changes the style of answers.
+    pub fn set_answer_style(&self, style: AnswerStyle) {
+        self.answer_style.set(style);
+    }
+
     /// Changes how polls are handled.
     pub fn set_condition(&self, condition: DiscoveryCondition) {
         let was_reachable = self.condition.replace(condition).is_reachable();
@@ -139,29 +152,6 @@
         self.condition_changed.notify(usize::MAX);
     }
 
-    /// The whole list as JSON, in the form that a configuration also contains.
-    pub fn whole_list(&self) -> String {
-        self.list_json(None)
-    }
-
-    fn list_json(&self, from: Option<u64>) -> String {
-        let lines = self.lines.borrow();
-        let wanted = |(changed, line): &&(u64, Line)| match from {
-            Some(from) => *changed > from,
-            // A whole list leaves out draining endpoints: for its reader they are removed, even
-            // while they still answer.
-            None => line.lifecycle == "active",
-        };
-        let instances: Vec<&Line> = lines.values().filter(wanted).map(|(_, line)| line).collect();
-        let list = serde_json::json!({
-            "generation": self.version.get(), "reset": from.is_none(), "instances": instances,
-        });
-        match self.random.borrow_mut().u32(0..4) {
-            0 => serde_json::to_string_pretty(&list).unwrap_or_default(),
-            _ => list.to_string(),
-        }
-    }
-
     /// Accepts connections on `address`. The listener is closed while discovery refuses
     /// connections.
     async fn accept(
@@ -192,17 +182,24 @@
             });
             if let Some((stream, _)) = accepted.await {
                 let this = self.clone();
-                executor.spawn(async move { drop(this.connection(stream, member).await) }).detach();
+                executor
+                    .spawn(async move { drop(this.connection(stream, address, member).await) })
+                    .detach();
             }
         }
     }
 
-    async fn connection(&self, stream: Async<TcpStream>, member: usize) -> io::Result<()> {
+    async fn connection(
+        &self,
+        stream: Async<TcpStream>,
+        address: SocketAddr,
+        member: usize,
+    ) -> io::Result<()> {
         stream.get_ref().set_nodelay(true)?;
         let (mut buffer, mut reader) = (Buffer::default(), &stream);
-        let mut last_answer: Option<Instant> = None;
         while let Ok(Some(head)) = http::read_head(&mut buffer, &mut reader, http::begins_request).await {
             let opened = Instant::now();
+            let last_answer = self.last_answers.borrow_mut().remove(&address);
             let continues = last_answer.is_some_and(|last| last.elapsed() <= WATCH_CONTINUES_WITHIN);
             let (from, hold) = poll_query(&head);
             let watch = Watch { member, opened: opened.saturating_duration_since(self.run_start), hold };
@@ -214,10 +211,16 @@
                 // Nothing is written to a client that has closed its connection.
                 WatchEnd::Changed | WatchEnd::HoldExpired if !is_connected(&stream) => return Ok(()),
                 WatchEnd::Changed | WatchEnd::HoldExpired => {
-                    let (version, body) = (self.version.get(), self.list_json(from));
-                    self.send(&stream, &body).await?;
-                    self.sent_versions.borrow_mut()[member].push((version, self.run_start.elapsed()));
-                    last_answer = (!hold.is_zero()).then(Instant::now);
+                    let (version, style) = (self.version.get(), self.style_of_answer(from));
+                    let sent = self.answer(&stream, from, style).await;
+                    // What was written counts as notified, also where it cannot be applied.
+                    if sent.is_ok() || style == AnswerStyle::Cut {
+                        self.sent_versions.borrow_mut()[member].push((version, self.run_start.elapsed()));
+                    }
+                    sent?;
+                    if !hold.is_zero() {
+                        self.last_answers.borrow_mut().insert(address, Instant::now());
+                    }
                 }
                 WatchEnd::Down => return self.end_watch(&stream, watch).await,
                 WatchEnd::Fault(WatchFault::Reset) => return reset(&stream),
@@ -258,6 +261,10 @@
                 self.answer_unavailable(stream, after).await?;
                 Ok(false)
             }
+            DiscoveryCondition::AgentCutOff => {
+                self.wait_for_return().await;
+                Ok(true)
+            }
             DiscoveryCondition::Resets | DiscoveryCondition::Refuses => {
                 self.count_poll(|polls| polls.failed += 1);
                 reset(stream)?;
@@ -300,23 +307,15 @@
         Ok(())
     }
 
-    /// Sends an answer, whole or in pieces.
-    async fn send(&self, mut stream: &Async<TcpStream>, body: &str) -> io::Result<()> {
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-        let bytes = [head.as_bytes(), body.as_bytes()].concat();
-        let pieces = self.random.borrow_mut().usize(1..5);
-        for piece in bytes.chunks(bytes.len() / pieces + 1) {
-            if !is_connected(stream) {
-                return Err(io::ErrorKind::BrokenPipe.into());
+    /// Waits until discovery is reachable again.
+    async fn wait_for_return(&self) {
+        loop {
+            let changed = self.condition_changed.listen();
+            if self.condition.get().is_reachable() {
+                return;
             }
-            stream.write_all(piece).await?;
-            Timer::after(Duration::from_millis(pieces as u64 - 1)).await;
+            changed.await;
         }
-        self.count_poll(|polls| {
-            let Answers { count, bytes: sent } = polls.answered;
-            polls.answered = Answers { count: count + 1, bytes: sent + bytes.len() as u64 };
-        });
-        Ok(())
     }
 
     fn count_poll(&self, update: impl FnOnce(&mut Polls)) {
@@ -344,6 +343,9 @@
             if !woken.await {
                 return WatchEnd::HoldExpired;
             }
+            if self.condition.get() == DiscoveryCondition::AgentCutOff {
+                self.wait_for_return().await;
+            }
             if !self.condition.get().is_reachable() {
                 return WatchEnd::Down;
             }
--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -13,7 +13,7 @@
 use futures_lite::{AsyncWriteExt, future};
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -80,9 +80,18 @@
         self.behaviour.set(behaviour);
     }
 
+    /// Whether its process runs.
+    pub fn is_running(&self) -> bool {
+        self.process.borrow().is_some()
+    }
+
     /// Starts its process on a new port and returns the address.
     pub fn start(self: &Rc<Self>, executor: &Executor) -> io::Result<SocketAddr> {
-        let listener = addresses::listen()?;
+        self.start_on(addresses::listen()?, executor)
+    }
+
+    /// Starts its process on this listener and returns the address.
+    pub fn start_on(self: &Rc<Self>, listener: TcpListener, executor: &Executor) -> io::Result<SocketAddr> {
         let (address, listener) = (listener.local_addr()?, Async::new(listener)?);
         let connections: Rc<RefCell<Vec<Task<()>>>> = Rc::default();
         let (this, own, spawner) = (self.clone(), connections.clone(), executor.clone());
--- a/crates/lab/src/soak/member.rs
+++ b/crates/lab/src/soak/member.rs
@@ -59,7 +59,7 @@
         folder: &Path,
         slot: usize,
         discovery: [SocketAddr; ADDRESSES_PER_PROCESS],
-        known_list: &str,
+        known_list: Option<&str>,
         program: &Path,
     ) -> io::Result<ProcessSetup> {
         let state = folder.join(format!("p{slot}"));
@@ -67,7 +67,7 @@
         let (config_path, operator) = (state.join("config.json"), state.join("cottonpoint.toml"));
         let listen = format!("{}:0", addresses::host());
         fs::write(&operator, format!("[log]\nform = \"json\"\n\n[metrics]\nlisten = \"{listen}\"\n"))?;
-        let known_list: Value = serde_json::from_str(known_list)?;
+        let known_list: Option<Value> = known_list.map(serde_json::from_str).transpose()?;
         let configuration = json!({
             "name": format!("p{slot}"), "listen": listen, "console": listen,
             "discovery": discovery[0].to_string(), "limits": { "sockets": MAX_SOCKETS },
@@ -142,7 +142,7 @@
     let [safe, keyed, without_key] = plan.client_timeouts;
     json!({
         "me": slot, "siblings": plan.members, "my_zone": 0, "azs": ["here"], "shapes": ["plain"],
-        "discovery": "on_request",
+        "discovery": if plan.pushed { "pushed" } else { "on_request" },
         "telemetry": { "how": "piggyback", "fields": ["throughput", "utilization"] },
         "lanes": [
             class("view", "read_like", 1.0, safe),
--- a/crates/lab/src/soak/oracle/notification.rs
+++ b/crates/lab/src/soak/oracle/notification.rs
@@ -83,8 +83,9 @@
     fn notified_by(&self, member: usize, change: &Change) -> Option<Timestamp> {
         let started = self.records.members[member].started;
         let available = change.at.max(started);
+        let within = if self.records.pushed { Duration::ZERO } else { NOTIFIED_WITHIN };
         let reachable_due = self.records.reachable_periods.iter().find_map(|period| {
-            let due = available.max(period.from) + NOTIFIED_WITHIN;
+            let due = available.max(period.from) + within;
             period.until.is_none_or(|until| due <= until).then_some(due)
         })?;
         let silent = self.records.silent_watches.iter().filter(|watch| watch.member == member);
--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -164,6 +164,48 @@
     assert!(!sent_after(14_200, always(), Some(silent)) && sent_after(14_201, always(), Some(silent)));
 }
 
+/// Guards against an oracle that gives a process 6 s where an agent pushes the list, or faults it
+/// while the agent is cut off.
+#[test]
+fn pushed_change_counts_as_notified_at_once_or_when_discovery_is_back() {
+    let sent_after = |since: u64, reachable: Vec<ReachablePeriod>| {
+        let mut records = good_records();
+        records.pushed = true;
+        records.changes.push(change(2, ms(2000), Lifecycle::Removed));
+        records.attempts[0].started = ms(since);
+        records.requests[0].sent = ms(since);
+        records.reachable_periods = reachable;
+        records.attempts[0].time_left = Some(ms(100));
+        violated_invariants(&records).contains(&Invariant::Drain)
+    };
+    let always = || vec![ReachablePeriod { from: ms(0), until: None }];
+    assert!(!sent_after(2650, always()) && sent_after(2651, always()));
+    let cut_off = || {
+        vec![
+            ReachablePeriod { from: ms(0), until: Some(ms(1500)) },
+            ReachablePeriod { from: ms(9000), until: None },
+        ]
+    };
+    assert!(!sent_after(9650, cut_off()) && sent_after(9651, cut_off()));
+}
+
+/// Guards against an oracle that misses attempts at a removed endpoint that listens again before it
+/// is listed (report 2c34d4), or faults those after it is listed.
+#[test]
+fn attempts_at_a_removed_endpoint_are_faulted_until_it_is_listed_again() {
+    let sent_at = |at: u64| {
+        let mut records = good_records();
+        records.changes.push(change(2, ms(2000), Lifecycle::Removed));
+        records.sent_versions[0].push((2, ms(2010)));
+        records.changes.push(change(3, ms(7000), Lifecycle::Active));
+        records.attempts[0].started = ms(at);
+        records.requests[0].sent = ms(at);
+        records.attempts[0].time_left = Some(ms(100));
+        violated_invariants(&records).contains(&Invariant::Drain)
+    };
+    assert!(!sent_at(2600) && sent_at(5000) && sent_at(6999) && !sent_at(7000));
+}
+
 /// Guards against counting requests that a kill excuses as lost, and against excusing others.
 #[test]
 fn kill_excuses_only_requests_that_the_protocol_allows_to_lose() {
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -2,6 +2,8 @@
 //! same plan.
 
 mod draw;
+#[cfg(test)]
+mod tests;
 
 use super::records::Timestamp;
 use std::fmt;
@@ -25,6 +27,9 @@
     Silent,
     /// Discovery is down: nothing listens on its addresses.
     Refuses,
+    /// Discovery is down, and with it the agent that pushes its lists: the agent accepts polls,
+    /// learns of no changes, and answers when discovery is back.
+    AgentCutOff,
 }
 
 impl DiscoveryCondition {
@@ -48,6 +53,26 @@
     TruncatedAnswer,
 }
 
+/// What discovery answers to a poll that names a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerStyle {
+    /// The entries that changed since that version.
+    Changes,
+    /// The whole list, which leaves out what drains.
+    WholeList,
+    /// Something that is no list.
+    NoList,
+    /// The whole list or changes, cut in the middle by the end of the connection.
+    Cut,
+}
+
+impl AnswerStyle {
+    /// Whether the answer says what has changed.
+    pub fn is_list(self) -> bool {
+        matches!(self, AnswerStyle::Changes | AnswerStyle::WholeList)
+    }
+}
+
 /// How an endpoint handles requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -80,12 +105,30 @@
     Discovery(DiscoveryCondition),
     /// The open watches break.
     Watches(WatchFault),
+    /// Discovery changes the style of its answers.
+    Answers(AnswerStyle),
     /// An endpoint changes how it handles requests.
     Endpoint(usize, Behaviour),
     /// An endpoint starts to drain.
     Drain(usize),
     /// An endpoint is removed from the list but still answers.
     Remove(usize),
+    /// An endpoint that drains or is removed is listed as active again.
+    Return(usize),
+    /// All endpoints start to drain, in one version of the list.
+    DrainTier,
+    /// All endpoints are removed, in one version of the list.
+    RemoveTier,
+    /// The processes of all endpoints end; the list does not change.
+    StopTier,
+    /// The endpoints that have stopped listen again at their addresses; the list does not change.
+    ListenTier,
+    /// All endpoints are listed as active, in one version of the list; cold, or as started long
+    /// ago.
+    ListTier {
+        /// Whether they are cold.
+        cold: bool,
+    },
     /// An endpoint's process crashes; the list does not change.
     Crash(usize),
     /// An endpoint's process starts anew, cold.
@@ -156,6 +199,10 @@
     pub rate: f64,
     /// The longest client timeouts of the three classes: safe, keyed, unsafe.
     pub client_timeouts: [Duration; 3],
+    /// Whether an agent pushes the list, rather than the processes asking for it.
+    pub pushed: bool,
+    /// For each slot of the fleet, whether its processes are started without a list.
+    pub without_known_list: Vec<bool>,
     /// For each process, the faults that the shim injects, if any.
     pub shims: Vec<Option<ShimFaults>>,
     /// The events, ordered by time.
@@ -167,7 +214,7 @@
         writeln!(
             f,
             "seed {}: {} processes, {} endpoints (and {} that only lengthen the list), {:.1} requests a second each, \
-             client timeouts {:?}, {:?}, {} processes with a shim",
+             client timeouts {:?}, {:?}, {} processes with a shim, {} started without a list, the list is {}",
             self.seed,
             self.members,
             self.endpoints,
@@ -175,7 +222,9 @@
             self.rate,
             self.client_timeouts,
             self.length,
-            self.shims.iter().flatten().count()
+            self.shims.iter().flatten().count(),
+            self.without_known_list.iter().filter(|without| **without).count(),
+            if self.pushed { "pushed" } else { "asked for" }
         )?;
         self.events.iter().try_for_each(|scheduled| {
             writeln!(f, "  {:>7.3} {:?}", scheduled.at.as_secs_f64(), scheduled.event)
--- a/crates/lab/src/soak/plan/draw.rs
+++ b/crates/lab/src/soak/plan/draw.rs
@@ -1,5 +1,7 @@
 //! Draws a plan from its seed.
 
+mod lists;
+
 use super::{Behaviour, DiscoveryCondition, Event, Plan, ScheduledEvent, ShimFaults, WatchFault};
 use crate::soak::records::Timestamp;
 use std::time::Duration;
@@ -38,16 +40,20 @@
             padding: if random.u32(0..5) == 0 { random.usize(500..=3000) } else { random.usize(0..20) },
             rate: (240.0 / members as f64).clamp(6.0, 20.0),
             client_timeouts,
+            pushed: false,
+            without_known_list: vec![false; members],
             shims: Vec::new(),
             events: Vec::new(),
         };
         let mut builder = PlanBuilder { random, plan };
+        builder.draw_deployment();
         builder.draw_shims();
         let quiet_until = builder.draw_discovery();
         builder.draw_endpoints(quiet_until);
         builder.draw_reloads(quiet_until);
         builder.draw_stops(quiet_until);
         builder.draw_clients(quiet_until);
+        builder.draw_lists(quiet_until);
         let mut plan = builder.plan;
         let last = plan.length;
         plan.events.retain(|scheduled| scheduled.at < last);
--- /dev/null
+++ b/crates/lab/src/soak/plan/tests.rs
@@ -0,0 +1,68 @@
+//! Checks what plans contain, over many seeds.
+
+use super::*;
+
+const SEEDS: u64 = 300;
+
+fn plans() -> Vec<Plan> {
+    (0..SEEDS).map(|seed| Plan::draw(seed, seed % 2 == 0)).collect()
+}
+
+/// Guards against faults that no seed draws (report 2c34d4: no plan had fewer than five endpoints,
+/// let the last two of them go, or had a list that is pushed).
+#[test]
+fn plans_have_each_size_of_tier_publication_and_answer_style() {
+    let plans = plans();
+    for size in 1..=12 {
+        assert!(plans.iter().any(|plan| plan.endpoints == size), "a tier of {size}");
+    }
+    for pushed in [false, true] {
+        let of_publication: Vec<_> = plans.iter().filter(|plan| plan.pushed == pushed).collect();
+        let some_have = |wanted: &dyn Fn(&Event) -> bool| {
+            let has = |plan: &&&Plan| plan.events.iter().any(|scheduled| wanted(&scheduled.event));
+            of_publication.iter().filter(has).count() >= 20
+        };
+        for style in [AnswerStyle::Changes, AnswerStyle::WholeList, AnswerStyle::NoList, AnswerStyle::Cut] {
+            assert!(some_have(&|event| *event == Event::Answers(style)), "{style:?}, pushed: {pushed}");
+        }
+        for cold in [false, true] {
+            assert!(some_have(&|event| *event == Event::ListTier { cold }), "cold: {cold}");
+        }
+        assert!(some_have(&|event| matches!(event, Event::Return(_))));
+    }
+    let without_list = plans.iter().flat_map(|plan| &plan.without_known_list);
+    assert!(without_list.filter(|without| **without).count() >= 100);
+}
+
+/// Guards against a whole tier that never listens before it is listed, or that is listed while its
+/// removal is still to come.
+#[test]
+fn whole_tier_is_removed_before_it_listens_and_listens_before_it_is_listed() {
+    for plan in plans() {
+        let steps = plan.events.iter().filter_map(|scheduled| match scheduled.event {
+            Event::RemoveTier => Some(0),
+            Event::ListenTier => Some(1),
+            Event::ListTier { .. } => Some(2),
+            _ => None,
+        });
+        assert!(steps.enumerate().all(|(index, step)| index % 3 == step), "seed {}", plan.seed);
+    }
+}
+
+/// Guards against an agent that is crowded, and one that is up while discovery is down.
+#[test]
+fn agents_are_up_or_cut_off() {
+    for plan in plans() {
+        let conditions = plan.events.iter().filter_map(|scheduled| match scheduled.event {
+            Event::Discovery(condition) => Some(condition),
+            _ => None,
+        });
+        let is_agent =
+            |condition| matches!(condition, DiscoveryCondition::Up | DiscoveryCondition::AgentCutOff);
+        assert!(
+            conditions
+                .clone()
+                .all(|condition| plan.pushed == is_agent(condition) || condition == DiscoveryCondition::Up)
+        );
+    }
+}
--- a/crates/lab/src/soak/play.rs
+++ b/crates/lab/src/soak/play.rs
@@ -1,6 +1,7 @@
 //! Carries a plan out: starts stand-ins and processes, applies the events of the plan, and collects
 //! what both ends recorded.
 
+mod lists;
 mod stops;
 
 use super::Arguments;
@@ -12,20 +13,17 @@
 use super::plan::{Event, Plan};
 use super::records::*;
 use crate::live::Executor;
-use crate::live::discovery::Line;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 use std::{io, thread};
 
 const IDLE_CONNECTIONS: usize = 170;
 const IDLE_CONNECTIONS_HELD: Duration = Duration::from_secs(4);
-/// Minimum number of active endpoints at any time.
-const MIN_ACTIVE: usize = 2;
 /// How long the run waits for answers after the last request.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(5800);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -135,6 +133,7 @@
             sent_versions: self.discovery.sent_versions.take(),
             reachable_periods: self.discovery.reachable_periods.take(),
             silent_watches: self.discovery.silent_watches.take(),
+            pushed: self.plan.pushed,
             offline_commands: self.offline_commands.take(),
             polls: self.discovery.polls.get(),
             timer_lateness: self.timer_lateness.get(),
@@ -160,44 +159,21 @@
     fn start_endpoints(&self) -> io::Result<()> {
         for endpoint in &self.endpoints {
             self.addresses.borrow_mut().push(endpoint.start(&self.executor)?);
-            self.set_lifecycle(endpoint.index, Lifecycle::Active, 0);
+            self.set_lifecycles(&[endpoint.index], Lifecycle::Active, None);
         }
         for index in 0..self.plan.padding {
             // Nothing listens on the discard port.
-            let line = list_line(
+            let line = lists::list_line(
                 &format!("padding-{index}"),
                 SocketAddr::from((addresses::host(), 9)),
                 "leaving",
                 0,
             );
-            self.discovery.update_line(line);
+            self.discovery.update_lines([line]);
         }
         Ok(())
     }
 
-    /// Changes the lifecycle of an endpoint in the list.
-    fn set_lifecycle(&self, endpoint: usize, lifecycle: Lifecycle, started_at_ms: u64) {
-        let text = match lifecycle {
-            Lifecycle::Active => "active",
-            Lifecycle::Draining => "leaving",
-            Lifecycle::Removed => "left",
-        };
-        let address = self.addresses.borrow()[endpoint];
-        let version =
-            self.discovery.update_line(list_line(&name_of(endpoint), address, text, started_at_ms));
-        self.lifecycles.borrow_mut()[endpoint] = lifecycle;
-        let at = self.run_start.elapsed();
-        let cold = started_at_ms > 0;
-        self.changes.borrow_mut().push(Change { version, at, endpoint, lifecycle, cold });
-    }
-
-    /// Whether enough active endpoints remain without this one.
-    fn can_lose(&self, endpoint: usize) -> bool {
-        let lifecycles = self.lifecycles.borrow();
-        let active = lifecycles.iter().filter(|lifecycle| **lifecycle == Lifecycle::Active).count();
-        active > MIN_ACTIVE || lifecycles[endpoint] != Lifecycle::Active
-    }
-
     /// Starts processes in the given slots on separate threads, so that the stand-ins go on
     /// answering.
     async fn start_members(self: &Rc<Self>, slots: Vec<usize>) -> io::Result<()> {
@@ -213,12 +189,13 @@
             self.members.borrow_mut().push(member);
             self.slots[*slot].member.set(self.members.borrow().len() - 1);
             let program = &self.program;
+            let known_list = Some(known_list.as_str()).filter(|_| !self.plan.without_known_list[*slot]);
             setups.push(ProcessSetup::write(
                 &self.plan,
                 &self.folder,
                 *slot,
                 discovery,
-                &known_list,
+                known_list,
                 program,
             )?);
         }
@@ -261,8 +238,14 @@
             Event::Endpoint(endpoint, behaviour) => self.endpoints[endpoint].set_behaviour(behaviour),
             Event::Drain(endpoint) => self.withdraw(endpoint, Lifecycle::Draining),
             Event::Remove(endpoint) => self.withdraw(endpoint, Lifecycle::Removed),
-            Event::Crash(endpoint) if self.can_lose(endpoint) => self.endpoints[endpoint].crash(),
-            Event::Crash(_) => {}
+            Event::Answers(style) => self.discovery.set_answer_style(style),
+            Event::Return(endpoint) => self.return_endpoint(endpoint)?,
+            Event::DrainTier => self.withdraw_tier(Lifecycle::Draining),
+            Event::RemoveTier => self.withdraw_tier(Lifecycle::Removed),
+            Event::StopTier => self.endpoints.iter().for_each(|endpoint| endpoint.crash()),
+            Event::ListenTier => self.listen_tier()?,
+            Event::ListTier { cold } => self.list_tier(cold)?,
+            Event::Crash(endpoint) => self.endpoints[endpoint].crash(),
             Event::Restart(endpoint) => self.restart_endpoint(endpoint)?,
             Event::Reload(slot) => {
                 self.slots[slot].running.borrow_mut().as_mut().map_or(Ok(()), RunningProcess::reload)?;
@@ -305,24 +288,6 @@
         }
     }
 
-    fn withdraw(&self, endpoint: usize, lifecycle: Lifecycle) {
-        let current = self.lifecycles.borrow()[endpoint];
-        if self.can_lose(endpoint) && current != Lifecycle::Removed && current != lifecycle {
-            self.set_lifecycle(endpoint, lifecycle, 0);
-        }
-    }
-
-    fn restart_endpoint(&self, endpoint: usize) -> io::Result<()> {
-        if self.lifecycles.borrow()[endpoint] != Lifecycle::Active {
-            return Ok(());
-        }
-        self.endpoints[endpoint].crash();
-        self.addresses.borrow_mut()[endpoint] = self.endpoints[endpoint].start(&self.executor)?;
-        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        self.set_lifecycle(endpoint, Lifecycle::Active, u64::try_from(now.as_millis()).unwrap_or(0));
-        Ok(())
-    }
-
     async fn take_offline(&self, slot: usize, endpoint: usize) {
         let slot = &self.slots[slot];
         let (member, console) =
@@ -341,15 +306,3 @@
 fn name_of(endpoint: usize) -> String {
     format!("e{endpoint}")
 }
-
-fn list_line(name: &str, address: SocketAddr, lifecycle: &'static str, started_at_ms: u64) -> Line {
-    Line {
-        instance_id: name.to_owned(),
-        host_port: address,
-        zone: "here".to_owned(),
-        machine_type: "plain".to_owned(),
-        cell: 0,
-        lifecycle,
-        started_at_ms,
-    }
-}
--- a/crates/lab/src/soak/records.rs
+++ b/crates/lab/src/soak/records.rs
@@ -203,6 +203,8 @@
     pub sent_versions: Vec<Vec<(u64, Timestamp)>>,
     /// The periods in which discovery was reachable.
     pub reachable_periods: Vec<ReachablePeriod>,
+    /// Whether an agent pushes the list: what it holds counts as notified at once.
+    pub pushed: bool,
     /// Watches that became silent.
     pub silent_watches: Vec<SilentWatch>,
     /// Bad clients.
