--- a/crates/program/tests/sidecar/list.rs
+++ b/crates/program/tests/sidecar/list.rs
@@ -226,7 +226,6 @@
         with_length("200 OK", &left.replace("\"generation\":8,", "")),
         with_length("200 OK", &left.replace("\"generation\":8", "\"generation\":3")),
         with_length("200 OK", &left.replace("\"generation\":8", "\"generation\":-1")),
-        with_length("200 OK", &list_json(3, true, &[instance_json("t0", nowhere, "active")])),
         // Cut: in its head, after it, and in its body.
         "HTTP/1.1 2".to_owned(),
         format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", left.len()),
@@ -249,6 +248,29 @@
     }
 }
 
+/// Guards against a whole list of an older version that brings back endpoints which are gone, and
+/// against refusing for ever the list of a discovery whose versions began anew.
+#[test]
+fn whole_list_of_an_older_version_is_applied_once_it_is_confirmed() {
+    let (endpoint, discovery) = (ScriptedServer::new(), ScriptedServer::new());
+    let requests = endpoint.share().echo_requests();
+    let sidecar = TestSidecar::start(&config_json(discovery.address, &list_json(7, true, &[]), 1024));
+    let older = list_json(3, true, &[instance_json("t0", endpoint.address, "active")]);
+    let mut poll = discovery.accept();
+    poll.reply("200 OK", "", &older);
+    let mut poll = discovery.accept();
+    assert_poll(&poll, " HTTP");
+    assert!(sidecar.request(LOOK).starts_with("HTTP/1.1 503"), "it is not applied yet");
+    assert!(requests.try_recv().is_err());
+    while poll.stream.write_all(with_length("200 OK", &older).as_bytes()).is_err()
+        || !poll.read_next().starts_with("GET /registry/instances?from=3&")
+    {
+        poll = discovery.accept();
+    }
+    assert!(sidecar.request(LOOK).starts_with("HTTP/1.1 200"));
+    sidecar.stop_and_join();
+}
+
 /// Guards against use of the list held while an answer arrives slowly: it has been written by then.
 #[test]
 fn list_held_is_not_used_while_an_answer_is_arriving() {
