Review case 2: requests on new connections are lost at a restart with short deadlines

The case shows planned restarts (SIGTERM) where the longest deadline is 700 ms. New connections go on coming for 0.3 s, but from 0.1 s on the process closes each one that has not yet sent a byte, every 50 ms and after each close of any other. The client's first request, written 2 ms after its connection was made, is read and thrown away, and the connection ends in order without an answer.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,6 +2,7 @@
 //! if it held, 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod case1;
+mod case2;
 mod kit;
 
 use std::path::Path;
@@ -19,6 +20,7 @@
         record.line("case", format_args!("{case}, disruption {}", if trouble { "on" } else { "off" }));
         let broken = match case.as_str() {
             "1" => case1::play(&place, &record, trouble),
+            "2" => case2::play(&place, &record, trouble),
             _ => Err("no such case".into()),
         }?;
         for line in &broken {
