Review case 3: a process started in an outage sends to a draining endpoint (pushed lists)

The case shows a sidecar that is killed and started again while discovery is down, where lists are pushed. An endpoint began to drain in between, and the agent has that, so it counts as told from the first moment of the new process. The first poll, on which nothing has been heard, is taken for an established watch, and the list known last is used for 3 s.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 
 mod case1;
 mod case2;
+mod case3;
 mod kit;
 
 use std::path::Path;
@@ -21,6 +22,7 @@
         let broken = match case.as_str() {
             "1" => case1::play(&place, &record, trouble),
             "2" => case2::play(&place, &record, trouble),
+            "3" => case3::play(&place, &record, trouble),
             _ => Err("no such case".into()),
         }?;
         for line in &broken {
