--- a/review/standins/src/kit.rs
+++ b/review/standins/src/kit.rs
@@ -7,6 +7,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -392,7 +393,16 @@
         record: &Arc<Record>,
     ) -> Result<Sidecar> {
         let log = place.temporary.join(format!("{name}.log"));
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // SAFETY: prctl takes integers and is safe to call between fork and exec.
+        unsafe {
+            // Should the driver itself be killed, its processes end with it.
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0);
+                Ok(())
+            });
+        }
+        let child = command
             .args(["-c", &place.run])
             .current_dir(&place.root)
             .env("NODE_NAME", "n1")
@@ -434,8 +444,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, signal: u64, _: u64, _: u64, _: u64) -> i32;
 }
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -8,6 +8,11 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+
+/// A case that takes longer could not run.
+const TIME_LIMIT: Duration = Duration::from_secs(100);
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -15,6 +20,11 @@
         eprintln!("review-case N ROOT FOLDER");
         return ExitCode::from(2);
     };
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        eprintln!("the case could not run: it did not end in time");
+        std::process::exit(2); // Its processes end with it.
+    });
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let played = kit::Place::new(Path::new(root), Path::new(folder)).and_then(|place| {
         let record = kit::Record::create(&place.folder.join("record.txt"))?;
