--- a/review/standins/src/case3.rs
+++ b/review/standins/src/case3.rs
@@ -31,9 +31,17 @@
         [class("gate-times", "read_like", 400, 900), class("buy-ticket", "idempotency_key", 700, 1400)];
     let settings = settings(&classes, 4, "pushed")
         .replace("\"stop_sending_within_ns\":500", "\"stop_sending_within_ns\":700");
-    // The list as this sidecar had it last: it is killed before the change.
-    let config = config(listen, &discovery, &settings);
-    fs::write(place.temporary.join("config.json"), config)?;
+    // Two sidecars, of which one is killed. Its list is the one that it had last: it is killed before
+    // the change.
+    let other_listen = free_address()?;
+    for (name, me, listen) in [("config.json", 0, listen), ("other.json", 1, other_listen)] {
+        let settings = settings.replace("\"me\":0,\"siblings\":1", &format!("\"me\":{me},\"siblings\":2"));
+        fs::write(place.temporary.join(name), config(listen, &discovery, &settings))?;
+    }
+    let mut other =
+        Sidecar::start_on("other", "other.json", place, other_listen, discovery.address, record)?;
+    wait_until_ready(other_listen)?;
+    let other_traffic = Traffic::start(other_listen, "gate-times", 900, record);
 
     let first = Sidecar::start("first", place, listen, discovery.address, record)?;
     wait_until_ready(listen)?;
@@ -49,24 +57,32 @@
         discovery.set_down(true);
     }
     thread::sleep(ms(1000));
+    // $TMPDIR is empty at each start (DEPLOY).
+    fs::remove_dir_all(place.temporary.join("state").join("config.json"))?;
     let started_at = record.now();
     let mut second = Sidecar::start("second", place, listen, discovery.address, record)?;
     wait_until_ready(listen)?;
     let traffic = Traffic::start(listen, "gate-times", 900, record);
+    let of_second = traffic.ids.clone();
     thread::sleep(ms(DOWN_FOR - 1000));
     discovery.set_down(false);
     thread::sleep(ms(3000));
     traffic.stop();
-    if !second.runs() {
-        return Ok(vec!["the second process has ended".to_owned()]);
+    other_traffic.stop();
+    if !second.runs() || !other.runs() {
+        return Err("a process has ended".into());
     }
 
     let runs = runs.lock().unwrap();
-    if runs.iter().filter(|run| run.first_byte > started_at).count() < 100 {
+    let by_second = |run: &&Run| run.id.starts_with(&of_second);
+    if runs.iter().filter(by_second).count() < 100 {
         return Err("too little traffic after the start".into());
     }
-    let late: Vec<&Run> =
-        runs.iter().filter(|run| run.endpoint == DRAINED && run.first_byte > started_at + GRACE).collect();
+    let late: Vec<&Run> = runs
+        .iter()
+        .filter(by_second)
+        .filter(|run| run.endpoint == DRAINED && run.first_byte > started_at + GRACE)
+        .collect();
     let Some((first, last)) = late.first().zip(late.last()) else { return Ok(Vec::new()) };
     Ok(vec![format!(
         "{} requests began at {DRAINED}, which drains, {} to {} ms after the start of the process (told at 0, grace to 750); \
