--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -171,11 +171,15 @@
             let mut core = self.core.borrow_mut();
             core.drop_idle_balancers();
             if core.balancers.len() >= MAX_BALANCERS {
+                let (held, version) = (core.balancers.len(), core.current_version());
+                tracing::info!(held, version, replaced = core.pending.is_some(), "balancer settings put off");
                 core.pending = Some(settings);
                 return;
             }
             let settings_version = core.balancers.back().map_or(0, |(n, _)| n + 1);
             let seed = core.seed ^ u64::from(settings_version).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let (held, open_requests) = (core.balancers.len(), core.requests.len());
+            tracing::info!(held, version = settings_version, open_requests, "balancer settings in force");
             core.balancers.push_back((settings_version, Balancer::new(settings, seed, self.clock.now())));
             settings_version
         };
