Put each configuration in force at once, in the one balancer that the process keeps

Cause: Sidecar::reload_settings made a new balancer for each configuration and held four at most. A fifth was put off until one of them had no open request, while Clients::set_platform took it at once. Meanwhile requests were numbered by the new list of classes and decided by the old balancer, which took the number for the class that had it before. A put-off configuration was also replaced by the next one unseen, and a new list with more classes than the old one would have indexed behind the end of the old list.

Now the balancer takes new settings while it runs (policy/reconfigure.rs). A request carries the class and the limits under which it arrived, so nothing is held for earlier settings but their open requests, however many configurations follow one another, and none is put off. What was learned of classes and tenants moves to their new ids by name. The budgets of cold endpoints, retries and quotas go on; before, each balancer had its own. ActiveConfig puts a configuration in force in all parts in one step.

The test unsafe_class_in_place_of_a_safe_one_is_not_repeated_after_many_reloads (twelve configurations, an open request under each) fails on the commit before: "an attempt that may have run is the only one", 3 attempts, answer 503.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -30,9 +30,7 @@
         self.next_request_id.set(id.0 + 1);
         let (sender, decisions) = async_channel::unbounded();
         let mut core = self.core.borrow_mut();
-        let settings_version = core.current_version();
-        let entry =
-            RequestState { settings_version, decisions: sender, attempts: Vec::new(), closed: false };
+        let entry = RequestState { decisions: sender, attempts: Vec::new(), closed: false };
         core.requests.insert(id, entry);
         drop(core);
         let request =
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,9 +43,6 @@
 
 /// State of one request from its admission until its handle is dropped.
 struct RequestState {
-    /// Version of the settings under which the request was admitted; names the balancer that owns
-    /// it.
-    settings_version: u32,
     decisions: Sender<Decision>,
     /// For each attempt, the channel that aborts it and the endpoint it goes to.
     attempts: Vec<(Sender<AbortReason>, EndpointId)>,
@@ -53,17 +50,8 @@
     closed: bool,
 }
 
-/// Maximum number of balancers held at once: the one for the current settings, and those for
-/// earlier settings whose requests are still open. A reload beyond this is deferred until one of
-/// them has no open request.
-const MAX_BALANCERS: usize = 4;
-
 struct Core {
-    /// Ordered by settings version, oldest first; the last one takes new requests.
-    balancers: VecDeque<(u32, Balancer)>,
-    /// Settings of a reload that arrived while [`MAX_BALANCERS`] balancers were held.
-    pending: Option<Settings>,
-    seed: u64,
+    balancer: Balancer,
     requests: HashMap<RequestId, RequestState>,
     endpoint_list: EndpointList,
     actions: Vec<Action>,
@@ -78,6 +66,8 @@
     subscribe: Sender<()>,
     counts: Counts,
     guard: Guard,
+    /// Number of times that the settings have been replaced.
+    settings_version: Cell<u64>,
     /// How the endpoint list is obtained, according to the current settings.
     discovery: Cell<Discovery>,
     lease: RefCell<Lease>,
@@ -104,9 +94,7 @@
         let (subscribe, subscriptions) = async_channel::bounded(1);
         let (now, discovery) = (clock.now(), settings.discovery);
         let core = Core {
-            balancers: VecDeque::from([(0, Balancer::new(settings, seed, now))]),
-            pending: None,
-            seed,
+            balancer: Balancer::new(settings, seed, now),
             requests: HashMap::new(),
             endpoint_list: EndpointList::default(),
             actions: Vec::new(),
@@ -119,6 +107,7 @@
             subscribe,
             counts: Counts::default(),
             guard: Guard::default(),
+            settings_version: Cell::new(0),
             discovery: Cell::new(discovery),
             lease: Lease::new(now, discovery, DRAIN_GRACE).into(),
             has_list: Cell::new(false),
@@ -148,13 +137,9 @@
     /// Whether `request` is still owed an answer, and whether an attempt of it may reach its
     /// endpoint at `at`.
     fn may_reach(&self, request: RequestId, at: Time) -> (bool, bool) {
-        let core = &mut *self.core.borrow_mut();
-        let open =
-            core.requests.get(&request).filter(|entry| !entry.closed).map(|entry| entry.settings_version);
-        (
-            open.is_some(),
-            open.is_some_and(|settings_version| core.balancer(settings_version).may_reach(request, at)),
-        )
+        let core = self.core.borrow();
+        let open = core.requests.get(&request).is_some_and(|entry| !entry.closed);
+        (open, open && core.balancer.may_reach(request, at))
     }
 
     /// Number of requests that were admitted and have not ended.
@@ -162,91 +147,42 @@
         self.core.borrow().requests.len()
     }
 
-    /// Applies new settings to requests admitted from now on. Open requests keep the settings and
-    /// the balancer under which they were admitted, until the last of them ends. The new balancer
-    /// starts with the current endpoint list, as at process start.
-    pub fn reload_settings(self: &Rc<Self>, settings: Settings) {
+    /// Puts new settings in force at once. Requests admitted from now on are decided by them; open
+    /// requests keep the rules under which they were admitted. `renumbering` relates the ids of
+    /// classes and tenants to those of the settings before.
+    pub fn reload_settings(self: &Rc<Self>, settings: Settings, renumbering: &Renumbering) {
         self.discovery.set(settings.discovery);
-        let settings_version = {
-            let mut core = self.core.borrow_mut();
-            core.drop_idle_balancers();
-            if core.balancers.len() >= MAX_BALANCERS {
-                let (held, version) = (core.balancers.len(), core.current_version());
-                tracing::info!(held, version, replaced = core.pending.is_some(), "balancer settings put off");
-                core.pending = Some(settings);
-                return;
-            }
-            let settings_version = core.balancers.back().map_or(0, |(n, _)| n + 1);
-            let seed = core.seed ^ u64::from(settings_version).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-            let (held, open_requests) = (core.balancers.len(), core.requests.len());
-            tracing::info!(held, version = settings_version, open_requests, "balancer settings in force");
-            core.balancers.push_back((settings_version, Balancer::new(settings, seed, self.clock.now())));
-            settings_version
-        };
-        let endpoints = self.core.borrow().endpoint_list.balancer_endpoints();
-        self.feed_to(
-            Some(settings_version),
-            Event::Endpoints { kind: ListKind::Full, entries: &endpoints },
-        );
+        let open_requests = self.open_requests();
+        let version = self.settings_version.get() + 1;
+        self.settings_version.set(version);
+        tracing::info!(version, open_requests, "balancer settings in force");
+        self.step(|balancer, now, actions| balancer.reconfigure(now, settings, renumbering, actions));
     }
 
-    /// Feeds one event to the balancer that it concerns. Events about endpoints go to all
-    /// balancers.
+    /// Feeds one event to the balancer.
     fn feed(self: &Rc<Self>, event: Event<'_>) {
-        let settings_version = {
-            let core = self.core.borrow();
-            match &event {
-                Event::Endpoints { .. } | Event::DiscoveryFailed => None,
-                Event::Arrived(request) => core.requests.get(&request.id).map(|e| e.settings_version),
-                Event::Finished { id, .. } | Event::StreamStarted { id } | Event::ClientGone { id } => {
-                    Some(
-                        core.requests
-                            .get(id)
-                            .map_or_else(|| core.current_version(), |e| e.settings_version),
-                    )
-                }
-                Event::Timer { .. } | Event::ProbeFinished { .. } => Some(core.current_version()),
-            }
-        };
-        self.feed_to(settings_version, event);
-        let pending = {
-            let mut core = self.core.borrow_mut();
-            core.drop_idle_balancers();
-            let room = core.balancers.len() < MAX_BALANCERS;
-            if room { core.pending.take() } else { None }
-        };
-        if let Some(settings) = pending {
-            self.reload_settings(settings);
-        }
+        tracing::trace!(?event);
+        self.step(|balancer, now, actions| balancer.handle(now, event, actions));
     }
 
-    /// Feeds one event to one balancer, or to all, and executes the resulting actions. Executing an
-    /// action only queues decisions and starts timers, so this function is not re-entered while the
-    /// core is borrowed.
-    fn feed_to(self: &Rc<Self>, settings_version: Option<u32>, event: Event<'_>) {
+    /// Runs one step of the balancer and executes the resulting actions. Executing an action only
+    /// queues decisions and starts timers, so this function is not re-entered while the core is
+    /// borrowed.
+    fn step(self: &Rc<Self>, step: impl FnOnce(&mut Balancer, Time, &mut Vec<Action>)) {
         let mut core = self.core.borrow_mut();
-        // Balancers are added and removed only by a reload or after a feed, never during one.
-        for index in 0..core.balancers.len() {
-            let n = core.balancers[index].0;
-            if settings_version.is_some_and(|version| version != n) {
-                continue;
+        let mut follow_ups = VecDeque::new();
+        let mut actions = std::mem::take(&mut core.actions);
+        step(&mut core.balancer, self.clock.now(), &mut actions);
+        loop {
+            for action in actions.drain(..) {
+                tracing::trace!(?action);
+                follow_ups.extend(self.execute(&mut core, action));
             }
-            let mut follow_ups = VecDeque::new();
-            let mut actions = std::mem::take(&mut core.actions);
-            let now = self.clock.now();
-            tracing::trace!(?event, tuning = n);
-            core.balancer(n).handle(now, event, &mut actions);
-            loop {
-                for action in actions.drain(..) {
-                    tracing::trace!(?action);
-                    follow_ups.extend(self.execute(&mut core, n, action));
-                }
-                let Some(event) = follow_ups.pop_front() else { break };
-                tracing::trace!(?event);
-                core.balancer(n).handle(self.clock.now(), event, &mut actions);
-            }
-            core.actions = actions;
+            let Some(event) = follow_ups.pop_front() else { break };
+            tracing::trace!(?event);
+            core.balancer.handle(self.clock.now(), event, &mut actions);
         }
+        core.actions = actions;
     }
 
     fn reply_locally(&self, core: &mut Core, id: RequestId, response: LocalReply) {
@@ -255,12 +191,7 @@
         }
     }
 
-    fn execute(
-        self: &Rc<Self>,
-        core: &mut Core,
-        settings_version: u32,
-        action: Action,
-    ) -> Option<Event<'static>> {
+    fn execute(self: &Rc<Self>, core: &mut Core, action: Action) -> Option<Event<'static>> {
         match action {
             Action::Send { id, endpoint, attempt_deadline: until } => {
                 return route::queue_attempt(self, core, id, endpoint, until);
@@ -280,7 +211,7 @@
                 let timer = async move {
                     Timer::after(after).await;
                     if let Some(sidecar) = sidecar.upgrade() {
-                        sidecar.feed_to(Some(settings_version), Event::Timer { token });
+                        sidecar.feed(Event::Timer { token });
                     }
                 };
                 self.executor.spawn(timer).detach();
@@ -306,24 +237,4 @@
             }
         }
     }
-
-    /// The balancer for these settings, or the newest one if it has been dropped.
-    fn balancer(&mut self, settings_version: u32) -> &mut Balancer {
-        let at = self.balancers.iter().position(|(n, _)| *n == settings_version);
-        let last = self.balancers.len() - 1;
-        &mut self.balancers[at.unwrap_or(last)].1
-    }
-
-    /// Version of the current settings.
-    fn current_version(&self) -> u32 {
-        self.balancers.back().map_or(0, |(n, _)| *n)
-    }
-
-    /// Drops the balancers for earlier settings that own no open request.
-    fn drop_idle_balancers(&mut self) {
-        let current_version = self.current_version();
-        let requests = &self.requests;
-        self.balancers
-            .retain(|(n, _)| *n == current_version || requests.values().any(|e| e.settings_version == *n));
-    }
 }
--- a/crates/decide/src/interface/settings.rs
+++ b/crates/decide/src/interface/settings.rs
@@ -1,9 +1,9 @@
 //! The settings of a balancer: classes, tenants, and what the environment allows and requires.
 
-use super::ZoneId;
+use super::{ClassId, TenantId, ZoneId};
 use std::time::Duration;
 
-/// The settings of a balancer, which stay the same during its life.
+/// The settings of a balancer. [`Balancer::reconfigure`](crate::Balancer::reconfigure) replaces them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Index of this balancer among those that send to the same endpoints, from 0.
@@ -140,3 +140,13 @@
     /// The time over which that load is counted.
     pub overload_window: Duration,
 }
+
+/// Relates the numbers of the classes and tenants of new settings to those of the settings before
+/// them. A position in a list identifies a class or a tenant within its own settings only.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Renumbering {
+    /// For each class of the new settings, its id before; `None` for a class that is new.
+    pub classes: Vec<Option<ClassId>>,
+    /// For each tenant of the new settings, its id before; `None` for a tenant that is new.
+    pub tenants: Vec<Option<TenantId>>,
+}
--- a/crates/decide/src/policy/attempts.rs
+++ b/crates/decide/src/policy/attempts.rs
@@ -19,6 +19,8 @@
 /// One attempt of a request.
 pub(super) struct Attempt {
     pub(super) endpoint: EndpointId,
+    /// Where the endpoint was when the attempt was sent.
+    location: (ZoneId, CellId),
     /// When it was sent.
     sent_at: Time,
     /// Outstanding requests of this balancer at the endpoint after this one was sent, itself
@@ -28,9 +30,18 @@
     pub(super) in_flight: bool,
 }
 
+/// The rules of a request: those of the settings under which it arrived, whatever is in force later.
+pub(super) struct RequestRules {
+    pub(super) class: Class,
+    pub(super) limits: Limits,
+}
+
 /// A request that has no final answer yet.
 pub(super) struct TrackedRequest {
-    pub(super) request: Request,
+    /// The class, and the limits of the settings, as they were when it arrived.
+    pub(super) rules: RequestRules,
+    /// Its class among those of the settings in force; `None` if they do not have it any more.
+    pub(super) class: Option<ClassId>,
     /// Index of its queue.
     pub(super) queue: usize,
     /// An answer after this time is worth nothing.
@@ -47,13 +58,24 @@
     pub(super) streaming: bool,
 }
 
+impl TrackedRequest {
+    /// Whether it may reach an endpoint at that time, given its earlier attempts.
+    fn may_run(&self, at: Time) -> bool {
+        match (self.rules.class.effect, self.may_have_run) {
+            (_, None) | (Effect::Safe, _) => true,
+            (Effect::Keyed { window, .. }, Some((first, ..))) => at < first + window,
+            (Effect::Unsafe, Some(_)) => false,
+        }
+    }
+}
+
 impl Balancer {
     /// Sends a request's next attempt; false if no endpoint is usable.
     pub(super) fn send_attempt(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(mut r) = self.requests.remove(&id) else { return false };
         self.refill_cold_credit();
         let (own_time, known_times) =
-            (self.class_service_time_s[usize::from(r.request.class.0)], self.class_service_time_s.iter());
+            (self.service_time_of(r.class).unwrap_or(0.0), self.class_service_time_s.iter());
         let (sum, count) =
             known_times.filter(|&&t| t > 0.0).fold((0.0, 0.0), |(total, n), t| (total + t.ln(), n + 1.0));
         let relative_work = if own_time > 0.0 { own_time / f64::exp(sum / count) } else { 1.0 };
@@ -75,6 +97,7 @@
             let endpoint = e.info.id;
             r.attempts.push(Attempt {
                 endpoint,
+                location: (e.info.zone, e.info.cell),
                 sent_at: self.now,
                 outstanding_at_send: e.outstanding,
                 in_flight: true,
@@ -93,12 +116,10 @@
             return;
         };
         self.record_report(endpoint, report, outcome == Outcome::Ok);
-        let mut location = None;
         let mut was_failing = false;
         if let Some(&i) = self.index_by_id.get(&endpoint) {
             let e = &mut self.endpoints[i];
             e.outstanding = e.outstanding.saturating_sub(1);
-            location = Some((e.info.zone, e.info.cell));
             was_failing = e.consecutive_failures > 0;
             match outcome {
                 Outcome::Ok => e.consecutive_failures = 0,
@@ -110,6 +131,7 @@
         let Some(a) = r.attempts.get_mut(usize::from(attempt)).filter(|a| a.in_flight) else { return };
         a.in_flight = false;
         let (sent_at, outstanding_at_send) = (a.sent_at, f64::from(a.outstanding_at_send));
+        let (zone, cell) = a.location;
         let mut unrelated_to_load = false;
         if let Some(&i) = self.index_by_id.get(&endpoint) {
             let served_concurrency = &mut self.endpoints[i].served_concurrency;
@@ -121,13 +143,13 @@
                 && peak >= SERVED_CONCURRENCY_MIN
                 && outstanding_at_send < peak * LOW_CONCURRENCY_SHARE;
         }
-        let class = usize::from(r.request.class.0);
+        let (class, latency_target) = (r.class, r.rules.class.latency_target);
         if !outcome.never_ran() && r.may_have_run.is_none_or(|(first, ..)| sent_at < first) {
-            let (zone, cell) = location.unwrap_or((ZoneId(u16::MAX), CellId(u16::MAX)));
             r.may_have_run = Some((sent_at, zone, cell));
         }
-        if outcome == Outcome::Ok {
-            let (average, service_time) = (&mut self.class_service_time_s[class], elapsed.as_secs_f64());
+        if let Some(ClassId(class)) = class.filter(|_| outcome == Outcome::Ok) {
+            let average = &mut self.class_service_time_s[usize::from(class)];
+            let service_time = elapsed.as_secs_f64();
             *average +=
                 if *average > 0.0 { (service_time - *average) * SERVICE_TIME_GAIN } else { service_time };
         }
@@ -139,7 +161,7 @@
             !was_failing && !unrelated_to_load && !matches!(outcome, Outcome::Cancelled | Outcome::NotSent);
         if outcome == Outcome::Ok || counts_for_limit {
             // An answer later than the whole latency target counts as a time-out.
-            let late = outcome == Outcome::Ok && elapsed > self.settings.classes[class].latency_target;
+            let late = outcome == Outcome::Ok && elapsed > latency_target;
             self.update_limit(if late { Outcome::TimedOut } else { outcome }, sent_at);
         }
         if closed {
@@ -148,18 +170,15 @@
         self.retry_or_answer(id, actions);
     }
 
-    /// Whether a request may reach an endpoint at that time, given its earlier attempts.
-    fn may_run(&self, r: &TrackedRequest, at: Time) -> bool {
-        match (self.settings.classes[usize::from(r.request.class.0)].effect, r.may_have_run) {
-            (_, None) | (Effect::Safe, _) => true,
-            (Effect::Keyed { window, .. }, Some((first, ..))) => at < first + window,
-            (Effect::Unsafe, Some(_)) => false,
-        }
-    }
-
     /// Whether an attempt of a request may still be sent if it reaches its endpoint at that time.
     pub fn may_reach(&self, id: RequestId, at: Time) -> bool {
-        self.requests.get(&id).is_some_and(|r| self.may_run(r, at))
+        self.requests.get(&id).is_some_and(|r| r.may_run(at))
+    }
+
+    /// The average service time of a class in seconds; 0 before its first answer. `None` if the
+    /// settings in force do not have the class.
+    fn service_time_of(&self, class: Option<ClassId>) -> Option<f64> {
+        class.map(|class| self.class_service_time_s[usize::from(class.0)])
     }
 
     /// Decides what happens to a request none of whose attempts has answered. The request keeps its
@@ -170,11 +189,10 @@
         if r.streaming || r.attempts.iter().any(|a| a.in_flight) {
             return;
         }
-        let effect = self.settings.classes[usize::from(r.request.class.0)].effect;
+        let effect = r.rules.class.effect;
         let safe_to_repeat = matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. });
-        let (may_repeat, may_refuse) =
-            (self.may_run(r, self.now), safe_to_repeat || r.may_have_run.is_none());
-        let attempts_left = r.attempts.len() < self.settings.limits.max_attempts as usize;
+        let (may_repeat, may_refuse) = (r.may_run(self.now), safe_to_repeat || r.may_have_run.is_none());
+        let attempts_left = r.attempts.len() < r.rules.limits.max_attempts as usize;
         let in_time = self.now < r.worth_until;
         if may_repeat && attempts_left && in_time && self.retry_budget >= 1.0 {
             let retry_until = r.worth_until;
@@ -195,15 +213,16 @@
     /// Refuses a request and closes it.
     pub(super) fn refuse(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
-        actions.push(Action::Refuse { id, retry_after: self.retry_after(r.worth_until) });
+        let retry_after = self.retry_after(r.worth_until, &r.rules.limits);
+        actions.push(Action::Refuse { id, retry_after });
         self.close_request(id, actions);
     }
 
     /// How long a refused client should wait before a client retry. While an answer is still worth
     /// something, that is a share of the time left, so that the retry can wait and be served; after
     /// that a retry only costs, and the client is given the longest delay.
-    pub(super) fn retry_after(&self, worth_until: Time) -> Option<Duration> {
-        let longest = self.settings.limits.max_retry_after?;
+    pub(super) fn retry_after(&self, worth_until: Time, limits: &Limits) -> Option<Duration> {
+        let longest = limits.max_retry_after?;
         let remaining = worth_until.since(self.now);
         Some(if remaining.is_zero() { longest } else { remaining.mul_f64(WAIT_SHARE).min(longest) })
     }
--- a/crates/decide/src/policy/levels.rs
+++ b/crates/decide/src/policy/levels.rs
@@ -161,6 +161,7 @@
             Duration::from_secs_f64(self.class_service_time_s[usize::from(request.class.0)]);
         let queue_deadline =
             (self.now + class.latency_target.mul_f64(WAIT_SHARE)).min(worth_until - usual_service);
+        let limits = self.settings.limits;
         let level = self.priority_level(&request);
         let width = width_of(class.effect);
         let flow = request.tenant.map_or(u64::MAX, |t| u64::from(t.0));
@@ -169,8 +170,10 @@
         let hand = deal_hand(hash).map(|i| first_queue + i);
         let queue = hand.into_iter().min_by_key(|&q| self.queues[q].waiting.len()).unwrap_or(first_queue);
         if self.queues[queue].waiting.len() >= QUEUE_CAPACITY || worth_until <= self.now {
-            return actions
-                .push(Action::Refuse { id: request.id, retry_after: self.retry_after(worth_until) });
+            return actions.push(Action::Refuse {
+                id: request.id,
+                retry_after: self.retry_after(worth_until, &limits),
+            });
         }
         let q = &mut self.queues[queue];
         if q.waiting.is_empty() && q.running == 0 {
@@ -183,7 +186,8 @@
         self.requests.insert(
             request.id,
             TrackedRequest {
-                request,
+                rules: RequestRules { class, limits },
+                class: Some(request.class),
                 queue,
                 worth_until,
                 seat: None,
@@ -281,7 +285,7 @@
         if q.waiting.is_empty() && q.running == 0 {
             self.scheduler.active_queues -= width;
         }
-        if self.settings.limits.may_cancel {
+        if r.rules.limits.may_cancel {
             for (i, _) in r.attempts.iter().enumerate().filter(|(_, a)| a.in_flight) {
                 actions.push(Action::Cancel { id, attempt: i as u8 });
             }
--- a/crates/decide/src/policy/mod.rs
+++ b/crates/decide/src/policy/mod.rs
@@ -12,12 +12,14 @@
 mod attempts;
 mod levels;
 mod limit;
+mod reconfigure;
 mod targets;
 mod timers;
 
 use crate::interface::*;
 use attempts::*;
 use levels::*;
+use reconfigure::ClassFigures;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
@@ -92,24 +94,17 @@
     /// Creates a balancer without endpoints or requests. All its randomness comes from `seed`.
     pub fn new(settings: Settings, seed: u64, now: Time) -> Self {
         let classes = settings.classes.len();
-        let usable_worth = |w: f64| if w.is_finite() && w > 0.0 { w } else { 0.0 };
-        let max_worth = settings.classes.iter().map(|c| usable_worth(c.worth)).fold(0.0, f64::max);
-        let service_guess_s =
-            settings.classes.iter().map(|c| c.latency_target.as_secs_f64()).fold(0.001, f64::max);
+        let figures = ClassFigures::of(&settings.classes);
         let mut balancer = Balancer {
             rng: fastrand::Rng::with_seed(seed),
             now,
-            shortest_target_s: settings
-                .classes
-                .iter()
-                .map(|c| c.latency_target.as_secs_f64())
-                .fold(service_guess_s, f64::min),
-            max_class_worth: if max_worth > 0.0 { max_worth } else { 1.0 },
+            shortest_target_s: figures.shortest_target_s,
+            max_class_worth: figures.max_worth,
             quota_buckets: vec![(f64::INFINITY, now); settings.tenants.len()],
             requests: HashMap::new(),
             queues: (0..LEVELS * 2 * QUEUES_PER_WIDTH).map(|_| Queue::default()).collect(),
             scheduler: SchedulerState::default(),
-            service_guess_s,
+            service_guess_s: figures.longest_target_s,
             concurrency_limit: f64::INFINITY,
             last_limit_decrease: now,
             overload_share: 0.0,
@@ -132,10 +127,7 @@
             armed_timer: None,
             settings,
         };
-        if let Discovery::OnRequest { ask_within } = balancer.settings.discovery {
-            let delay = ask_within.mul_f64(0.3 * balancer.rng.f64());
-            balancer.schedule(now + delay, TimerKind::Subscribe);
-        }
+        balancer.schedule_first_subscription();
         if balancer.uses_probes() {
             balancer.schedule(now, TimerKind::Probe);
         }
--- a/crates/decide/src/policy/targets.rs
+++ b/crates/decide/src/policy/targets.rs
@@ -174,7 +174,7 @@
     /// Chooses this balancer's subset: a run of the ready endpoints in hash order that begins at
     /// this balancer's position in a low-discrepancy sequence, so that all endpoints are in about
     /// the same number of subsets.
-    fn select_subsets(&mut self) {
+    pub(super) fn select_subsets(&mut self) {
         (self.local_subset, self.remote_subset) = (Vec::new(), Vec::new());
         let balancer_count = f64::from(self.settings.balancer_count.max(1));
         let wanted = (BALANCERS_PER_ENDPOINT * self.ready.len() as f64 / balancer_count).ceil() as usize;
@@ -212,14 +212,11 @@
     /// in its zone or cell; others go to the local subset, and to another zone only when the local
     /// endpoints are busy.
     pub(super) fn pick_endpoint(&self, r: &TrackedRequest) -> Option<usize> {
-        let required_group =
-            match (self.settings.classes[usize::from(r.request.class.0)].effect, r.may_have_run) {
-                (Effect::Keyed { scope: Scope::Zone, .. }, Some((_, zone, _))) => Some((zone, None)),
-                (Effect::Keyed { scope: Scope::Cell, .. }, Some((_, zone, cell))) => {
-                    Some((zone, Some(cell)))
-                }
-                _ => None,
-            };
+        let required_group = match (r.rules.class.effect, r.may_have_run) {
+            (Effect::Keyed { scope: Scope::Zone, .. }, Some((_, zone, _))) => Some((zone, None)),
+            (Effect::Keyed { scope: Scope::Cell, .. }, Some((_, zone, cell))) => Some((zone, Some(cell))),
+            _ => None,
+        };
         if let Some((zone, cell)) = required_group {
             let usable = |e: &TrackedEndpoint| e.info.zone == zone && cell.is_none_or(|c| c == e.info.cell);
             return self.least_loaded(&self.ready, r, usable);
--- a/crates/decide/src/policy/timers.rs
+++ b/crates/decide/src/policy/timers.rs
@@ -22,7 +22,23 @@
     SubscribeIfUnanswered,
 }
 
+impl TimerKind {
+    /// Whether it is due for a subscription to discovery.
+    pub(super) fn is_subscription(self) -> bool {
+        matches!(self, TimerKind::Subscribe | TimerKind::SubscribeIfUnanswered)
+    }
+}
+
 impl Balancer {
+    /// Schedules the first subscription under the settings in force, if discovery wants any, after
+    /// a random part of the time that they allow.
+    pub(super) fn schedule_first_subscription(&mut self) {
+        if let Discovery::OnRequest { ask_within } = self.settings.discovery {
+            let delay = ask_within.mul_f64(0.3 * self.rng.f64());
+            self.schedule(self.now + delay, TimerKind::Subscribe);
+        }
+    }
+
     /// Schedules the next subscription with exponential backoff and jitter.
     pub(super) fn on_discovery_failed(&mut self) {
         let Discovery::OnRequest { ask_within } = self.settings.discovery else { return };
@@ -32,7 +48,7 @@
         let backoff = backoff.mul_f64(0.5 + self.rng.f64());
         // Only this backoff counts: subscriptions scheduled earlier would come on top of it, more
         // with each failure.
-        self.timers.retain(|t| !matches!(t.0.1, TimerKind::Subscribe | TimerKind::SubscribeIfUnanswered));
+        self.timers.retain(|t| !t.0.1.is_subscription());
         self.schedule(self.now + backoff, TimerKind::Subscribe);
     }
 
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! returns its actions.
 #![allow(dead_code, missing_docs)]
 
+pub mod simulation;
+
 use cottonpoint_decide::*;
 use std::time::Duration;
 
--- a/crates/decide/tests/queueing.rs
+++ b/crates/decide/tests/queueing.rs
@@ -55,6 +55,30 @@
     assert_eq!(order, [within_quota, over_quota]);
 }
 
+/// Guards against a quota that a tenant uses up anew after each change of the settings, and against
+/// one that is charged to the tenant at the same position.
+#[test]
+fn quota_of_a_tenant_goes_on_under_its_new_position() {
+    let (mut d, running, endpoint) = balancer_at_limit(settings_with_tenants(1.0));
+    for _ in 0..10 {
+        let (id, _) = d.arrive_with(SAFE, Some(TenantId(0)), ms(3000));
+        d.handle(Event::ClientGone { id });
+    }
+    // The first tenant comes last now, after a new one and the second.
+    let mut settings = settings_with_tenants(1.0);
+    settings.tenants.truncate(3);
+    let renumbering = Renumbering {
+        classes: [SAFE, KEYED, UNSAFE, CHEAP].map(Some).to_vec(),
+        tenants: vec![None, Some(TenantId(1)), Some(TenantId(0))],
+    };
+    d.balancer.reconfigure(d.now, settings, &renumbering, &mut Vec::new());
+    let (over_quota, _) = d.arrive_with(SAFE, Some(TenantId(2)), ms(3000));
+    let (within_quota, _) = d.arrive_with(SAFE, Some(TenantId(0)), ms(3000));
+    let actions = d.finish(running, 0, endpoint, Outcome::Ok);
+    let order: Vec<_> = sends(&actions).iter().map(|s| s.0).collect();
+    assert_eq!(order, [within_quota, over_quota]);
+}
+
 #[test]
 fn flooding_tenant_does_not_starve_others_of_its_level() {
     let (mut d, running, endpoint) = balancer_at_limit(settings_with_tenants(1e6));
--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -174,6 +174,11 @@
         *self.settings.borrow_mut() = settings;
     }
 
+    /// The names of the classes in force, in the order of the settings.
+    pub fn class_names(&self) -> Vec<String> {
+        self.settings.borrow().classes.clone()
+    }
+
     /// Sets the maximum number of open connections.
     pub fn set_max_connections(&self, max_connections: usize) {
         self.max_connections.set(max_connections);
--- a/crates/program/src/console.rs
+++ b/crates/program/src/console.rs
@@ -7,7 +7,7 @@
 use cottonpoint_net::clients::Clients;
 use cottonpoint_net::console::{ConsoleCommand, answer_line};
 use serde_json::{Map, Value, json};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 
 /// What the console commands act on.
@@ -16,8 +16,6 @@
     pub sidecar: Rc<Sidecar>,
     /// Client connections.
     pub clients: Rc<Clients>,
-    /// The classes of the settings in force, in order.
-    pub classes: Rc<RefCell<Vec<String>>>,
     /// Endpoints disabled by the operator.
     pub disabled: Rc<DisabledEndpoints>,
     /// Whether the process is stopping.
@@ -93,8 +91,8 @@
     pub fn statistics(&self) -> Value {
         let counts = self.sidecar.counts();
         let mut operations = Map::new();
-        for class in self.classes.borrow().iter() {
-            operations.insert(class.clone(), class_statistics(Default::default()));
+        for class in self.clients.class_names() {
+            operations.insert(class, class_statistics(Default::default()));
         }
         for (class, c) in counts.classes() {
             operations.insert(class, class_statistics(c));
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -4,6 +4,7 @@
 //! (`cottonpoint-decide`), the platform's settings, the core (`sidecar`) and the socket layer
 //! (`net`).
 
+pub mod active;
 pub mod cli;
 pub mod config;
 pub mod console;
@@ -11,6 +12,7 @@
 pub mod log;
 pub mod metrics;
 pub mod operator;
+pub mod pid_file;
 pub mod serve;
 pub mod state;
 pub mod taken_out;
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -1,24 +1,25 @@
 //! Runs the sidecar: connects its parts, and serves from the first connection to the last.
 
+use crate::active::{ActiveConfig, connection_limits, discovery_address, pool_settings};
 use crate::config::{Config, ConfigError};
 use crate::console::Console;
 use crate::fleet::Membership;
 use crate::metrics::MetricsServer;
+pub use crate::pid_file::PidFile;
 use crate::taken_out::DisabledEndpoints;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use cottonpoint_core::{Clock, Executor, Sidecar};
-use cottonpoint_decide::{Discovery, ListKind};
+use cottonpoint_decide::ListKind;
 use cottonpoint_mesh::Command;
 use cottonpoint_net::clients::Clients;
 use cottonpoint_net::console::ConsoleCommand;
-use cottonpoint_net::list::{DiscoveryAddress, NameTable, Watcher};
-use cottonpoint_net::servers::{EndpointConnections, PoolSettings};
+use cottonpoint_net::list::{NameTable, Watcher};
+use cottonpoint_net::servers::EndpointConnections;
 use futures_lite::{Stream, StreamExt, future};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::io;
 use std::net::TcpListener;
-use std::path::Path;
 use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
@@ -29,12 +30,6 @@
 /// Interval at which a stopping process looks for idle connections to close.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Descriptors for everything but client and endpoint connections, at most: three standard streams,
-/// three of the event loop, two for signals, the listeners of clients, console and metrics,
-/// discovery, a request for metrics, the fleet's socket, two files: 16, rounded up to 24; and the
-/// console's connections.
-const OWN_DESCRIPTORS: usize = 24 + cottonpoint_net::console::MAX_CONNECTIONS;
-
 /// Interval at which the file of disabled endpoints is checked for changes by a process beside this
 /// one: well within the grace of a drain. Announcing this process and looking for a newer one use
 /// it too.
@@ -154,7 +149,6 @@
     let console = Rc::new(Console {
         sidecar: sidecar.clone(),
         clients: clients.clone(),
-        classes: Rc::new(RefCell::new(config.platform.classes.clone())),
         disabled,
         stopping: stopping.clone(),
         fleet: fleet.clone(),
@@ -175,10 +169,8 @@
     });
     let _fleet_task =
         fleet.clone().map(|fleet| executor.spawn(async move { fleet.join_when_address_is_free().await }));
-    let core = sidecar.clone();
-    let classes = console.classes.clone();
     let metrics_server = MetricsServer {
-        sidecar,
+        sidecar: sidecar.clone(),
         clients: clients.clone(),
         endpoint_connections: endpoint_connections.clone(),
         fleet: fleet.clone(),
@@ -186,31 +178,19 @@
     let _metrics_task = metrics.map(|listener| executor.spawn(metrics_server.serve(listener)));
 
     let (stop_sender, stop_receiver) = async_channel::bounded::<()>(1);
-    let (mut current, reconfigured_clients) = (config, clients.clone());
+    let mut active =
+        ActiveConfig { config, sidecar, clients: clients.clone(), endpoint_connections, address_updates };
     let control_task = executor.spawn(async move {
         while let Some(event) = control_events.next().await {
             match event {
                 // Configurations are still applied while accepted requests are being answered.
                 ControlEvent::Stop => drop(stop_sender.try_send(())),
                 ControlEvent::Reload(Ok(config)) => {
-                    core.counts().configuration(true);
-                    if config.platform != current.platform {
-                        // Open requests keep the settings that they arrived under; new ones use
-                        // these.
-                        core.reload_settings(config.platform.balancer.clone());
-                        reconfigured_clients.set_platform(config.platform.clone());
-                        *classes.borrow_mut() = config.platform.classes.clone();
-                    }
-                    core.set_drain_grace(config.platform.drain_grace);
-                    if discovery_address(&config) != discovery_address(&current) {
-                        let _ = address_updates.try_send(discovery_address(&config));
-                    }
-                    reconfigured_clients.set_max_connections(connection_limits(&config).0);
-                    endpoint_connections.set_pool_settings(pool_settings(&config));
-                    tracing::info!("{}", current.apply(*config));
+                    active.sidecar.counts().configuration(true);
+                    active.replace(*config);
                 }
                 ControlEvent::Reload(Err(fault)) => {
-                    core.counts().configuration(false);
+                    active.sidecar.counts().configuration(false);
                     tracing::error!(%fault, "invalid configuration ignored; the previous one stays in force");
                 }
             }
@@ -278,46 +258,6 @@
     });
 }
 
-/// The settings of the pool of connections to endpoints.
-fn pool_settings(config: &Config) -> PoolSettings {
-    let settings = &config.platform;
-    PoolSettings {
-        connect_timeout: settings.connect_timeout,
-        // Connections are closed well before the endpoint closes them, which could happen during a
-        // request.
-        idle_timeout: settings.conn_idle.mul_f64(0.7),
-        max_connections: connection_limits(config).1,
-        fields: settings.fields.clone(),
-        field_names: settings.field_names.clone(),
-    }
-}
-
-/// The maximum numbers of client connections and of endpoint connections. If the system allows fewer
-/// descriptors than the settings, both are reduced, so that clients at their maximum leave enough
-/// descriptors for discovery, the console and endpoints.
-fn connection_limits(config: &Config) -> (usize, usize) {
-    let (clients, endpoints) = (config.client_connections, config.endpoint_connections);
-    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
-    let open_files_limit =
-        limits.lines().find_map(|l| l.strip_prefix("Max open files")?.split_whitespace().next());
-    let Some(open_files_limit) =
-        open_files_limit.and_then(|open_files_limit| open_files_limit.parse::<usize>().ok())
-    else {
-        return (clients, endpoints);
-    };
-    let available = open_files_limit.saturating_sub(OWN_DESCRIPTORS).clamp(2, clients + endpoints);
-    let clients = (clients * available / (clients + endpoints)).max(1);
-    (clients, available - clients)
-}
-
-/// The address of discovery in a configuration, and whether it pushes lists.
-fn discovery_address(config: &Config) -> DiscoveryAddress {
-    DiscoveryAddress {
-        address: config.discovery,
-        pushed: config.platform.balancer.discovery == Discovery::Pushed,
-    }
-}
-
 /// Waits until a client connection has closed, or for the timer.
 async fn connection_closed_or(clients: &Clients, timer: Timer) {
     future::or(clients.wait_for_close(), async {
@@ -325,46 +265,3 @@
     })
     .await;
 }
-
-/// Lets processes of the sidecar that follow one another on the same clients' address know of each
-/// other, by a file in the state directory: each announces itself once it listens, so that an older
-/// one, when it has to stop, knows whether a newer one takes its clients (an upgrade) or none does
-/// (a restart).
-#[derive(Clone, Debug)]
-pub struct PidFile {
-    file: std::path::PathBuf,
-    /// The content of the file when this process started.
-    initial_content: Option<String>,
-}
-
-impl PidFile {
-    /// The name of the file that holds the process ID of the newest process.
-    pub const FILE_NAME: &'static str = "cottonpoint-newest.pid";
-
-    /// Uses the file in the state directory `state_dir`.
-    pub fn new(state_dir: &std::path::Path) -> PidFile {
-        let file = state_dir.join(Self::FILE_NAME);
-        let initial_content = std::fs::read_to_string(&file).ok();
-        PidFile { file, initial_content }
-    }
-
-    /// Makes this process the newest one, unless another one has announced itself since this one
-    /// started: the write may be delayed by a slow disk.
-    pub fn announce(&self) -> io::Result<()> {
-        let unchanged = || std::fs::read_to_string(&self.file).ok() == self.initial_content;
-        crate::state::write_atomically_if(&self.file, &std::process::id().to_string(), unchanged).map(drop)
-    }
-
-    /// Whether another process of the sidecar has announced itself and still runs.
-    pub fn is_another_running(&self) -> bool {
-        let newest = std::fs::read_to_string(&self.file).ok();
-        let pid = newest.and_then(|pid| pid.trim().parse::<u32>().ok());
-        pid.is_some_and(|pid| pid != std::process::id() && Path::new(&format!("/proc/{pid}")).exists())
-    }
-
-    /// Whether a newer process has announced itself.
-    pub fn is_superseded(&self) -> bool {
-        let newest = std::fs::read_to_string(&self.file).ok();
-        newest.and_then(|pid| pid.trim().parse::<u32>().ok()).is_some_and(|pid| pid != std::process::id())
-    }
-}
--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -19,5 +19,6 @@
 mod list;
 mod local_faults;
 mod program;
+mod reloads;
 mod retries;
 mod stop;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,6 +15,7 @@
 pub use raw::RawSettings;
 
 use cottonpoint_decide::*;
+use std::collections::HashMap;
 use std::time::Duration;
 
 type Result<T> = std::result::Result<T, BadSetting>;
@@ -64,6 +65,22 @@
     pub max_retry_after: Option<Duration>,
 }
 
+impl DeploymentSettings {
+    /// Relates the ids of classes and tenants to those of earlier settings, by name.
+    pub fn renumbering_since(&self, earlier: &DeploymentSettings) -> Renumbering {
+        Renumbering {
+            classes: earlier_ids(&earlier.classes, &self.classes, ClassId),
+            tenants: earlier_ids(&earlier.tenants, &self.tenants, TenantId),
+        }
+    }
+}
+
+/// For each name, the id that it has among the earlier names.
+fn earlier_ids<Id: Copy>(earlier: &[String], names: &[String], id: impl Fn(u16) -> Id) -> Vec<Option<Id>> {
+    let ids: HashMap<&String, Id> = earlier.iter().zip((0..=u16::MAX).map(id)).collect();
+    names.iter().map(|name| ids.get(name).copied()).collect()
+}
+
 /// Reads settings from the simulator's flat `path=value` lines.
 pub fn from_flat_text(text: &str) -> Result<DeploymentSettings> {
     read::<RawSettings, _>(flat::object(text)?)?.validate()
