Zones and machine kinds keep their identity across configurations

What callers saw: after a configuration that names the zones in another order, all requests went to endpoints of another zone; and a keyed request whose repeats only one zone drops could be repeated in another zone, where neither of both was named at the start.

The watcher numbered zones by the configuration of the process's start (docs/design/races.md listed it as open), the balancer its own zone by the newest; a name that was not listed had one number with all others.

--- a/crates/decide/src/interface/names.rs
+++ b/crates/decide/src/interface/names.rs
@@ -46,15 +46,22 @@
     RequestId(u64));
 id!(/// Identifies one endpoint; the same at every balancer and across restarts of its process.
     EndpointId(u64));
-id!(/// Index of a class in [`Settings::classes`](super::Settings::classes).
+id!(/// Index of a class in [`Settings::classes`](super::Settings::classes) of the settings in force.
     ClassId(u16));
-id!(/// Index of a tenant in [`Settings::tenants`](super::Settings::tenants).
+id!(/// Index of a tenant in [`Settings::tenants`](super::Settings::tenants) of the settings in force.
     TenantId(u16));
-id!(/// A zone: requests that cross from one zone to another may have a price.
+id!(/// A zone: requests that cross from one zone to another may have a price. It keeps its id when the
+    /// settings change.
     ZoneId(u16));
 id!(/// A cell: a small set of endpoints in one zone that share the idempotency keys they have seen.
     CellId(u16));
-id!(/// A machine type, used only to combine the load reports of similar endpoints.
+id!(/// A machine type, used only to combine the load reports of similar endpoints. It keeps its id
+    /// when the settings change.
     MachineTypeId(u16));
 id!(/// Returned when a timer fires.
     TimerToken(u64));
+
+impl ZoneId {
+    /// The zone of endpoints whose zone is not known. No two of them are taken to be in one zone.
+    pub const UNKNOWN: ZoneId = ZoneId(u16::MAX);
+}
--- a/crates/decide/src/policy/targets.rs
+++ b/crates/decide/src/policy/targets.rs
@@ -218,7 +218,8 @@
             _ => None,
         };
         if let Some((zone, cell)) = required_group {
-            let usable = |e: &TrackedEndpoint| e.info.zone == zone && cell.is_none_or(|c| c == e.info.cell);
+            let in_zone = |e: &TrackedEndpoint| zone != ZoneId::UNKNOWN && e.info.zone == zone;
+            let usable = |e: &TrackedEndpoint| in_zone(e) && cell.is_none_or(|c| c == e.info.cell);
             return self.least_loaded(&self.ready, r, usable);
         }
         let local = self.least_loaded(&self.local_subset, r, |_| true);
--- a/crates/decide/tests/reconfigure.rs
+++ b/crates/decide/tests/reconfigure.rs
@@ -101,3 +101,15 @@
     let (id, sent) = d.arrive(CHEAP);
     d.finish(id, 0, first_send(&sent).unwrap().1, Outcome::Ok);
 }
+
+/// Guards against a repeat in another zone where neither zone is known: endpoints without one share
+/// no idempotency keys.
+#[test]
+fn keyed_request_is_not_repeated_where_the_zone_is_unknown() {
+    let mut settings = settings();
+    settings.classes[1].effect = Effect::Keyed { scope: Scope::Zone, window: ms(2000) };
+    let unknown = |id| Endpoint { zone: ZoneId::UNKNOWN, ..endpoint(id) };
+    let mut d = Driver::with(settings, &[unknown(1), unknown(2)]);
+    let (id, sent) = d.arrive(KEYED);
+    assert_eq!(sends(&d.finish(id, 0, first_send(&sent).unwrap().1, Outcome::Error)), []);
+}
--- a/crates/lab/src/scale/host/hollow.rs
+++ b/crates/lab/src/scale/host/hollow.rs
@@ -73,9 +73,10 @@
         let text = configuration(index, discovery, 0).to_string();
         let config = Config::parse(&text, |_| None).map_err(|error| error.to_string())?;
         let platform = &config.platform;
-        let names = NameTable { zones: platform.zones.clone(), kinds: platform.kinds.clone() };
+        let names = NameTable::default();
+        let settings = names.balancer_settings(platform);
         let (sidecar, subscriptions) =
-            Sidecar::new(platform.balancer.clone(), config.seed, Clock::start(), self.executor.clone());
+            Sidecar::new(settings, config.seed, Clock::start(), self.executor.clone());
         let endpoint_connections = EndpointConnections::new(pool_settings(&config), self.executor.clone());
         // The balancer starts with its first event.
         sidecar.apply_list(ListKind::Full, &[]);
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -4,12 +4,14 @@
 
 mod answer;
 mod evidence;
+mod names;
 mod poll;
 mod schedule;
 mod superseded;
 mod update;
 
-pub use answer::{Answer, Entries, EntryFault, FaultyEntry, NameTable};
+pub use answer::{Answer, Entries, EntryFault, FaultyEntry};
+pub use names::NameTable;
 
 use crate::servers::EndpointConnections;
 use async_channel::Receiver;
@@ -56,7 +58,7 @@
     pub endpoint_connections: Rc<EndpointConnections>,
     /// The current address of discovery.
     pub discovery: DiscoveryAddress,
-    /// Maps the list's names of zones and machine kinds to indices.
+    /// Numbers the list's names of zones and machine kinds.
     pub names: NameTable,
     /// The list version that is held; `None` before the first list.
     pub generation: Option<u64>,
--- a/crates/net/src/list/answer.rs
+++ b/crates/net/src/list/answer.rs
@@ -1,5 +1,6 @@
 //! Discovery's JSON answer, and its conversion to the core's types.
 
+use super::names::NameTable;
 use cottonpoint_core::{EndpointRecord, Lifecycle, endpoint_id};
 use cottonpoint_decide::*;
 use serde::{Deserialize, Deserializer};
@@ -97,20 +98,6 @@
     }
 }
 
-/// The names of zones and machine kinds in lists, in the order of the settings.
-#[derive(Clone, Debug, Default)]
-pub struct NameTable {
-    /// The names of zones.
-    pub zones: Vec<String>,
-    /// The names of machine kinds.
-    pub kinds: Vec<String>,
-}
-
-fn index_of(names: &[String], name: Option<&str>) -> u16 {
-    let index = names.iter().position(|n| n == name.unwrap_or_default());
-    index.and_then(|i| u16::try_from(i).ok()).unwrap_or(u16::MAX)
-}
-
 impl Answer {
     /// Converts the answer to the core's types. A fault in one entry concerns that entry alone:
     /// what the others say counts as notified all the same.
@@ -125,9 +112,9 @@
             EndpointRecord {
                 id: endpoint_id(&instance.instance_id),
                 address: instance.host_port.unwrap_or(NO_ADDRESS),
-                zone: ZoneId(index_of(&names.zones, instance.zone.as_deref())),
+                zone: names.zone(instance.zone.as_deref()),
                 cell: CellId(instance.cell.unwrap_or(0)),
-                kind: MachineTypeId(index_of(&names.kinds, instance.machine_type.as_deref())),
+                kind: names.kind(instance.machine_type.as_deref()),
                 lifecycle,
                 started_at_ms: instance.started_at_ms.unwrap_or(0),
             }
--- a/crates/program/src/active.rs
+++ b/crates/program/src/active.rs
@@ -7,7 +7,7 @@
 use cottonpoint_core::Sidecar;
 use cottonpoint_decide::Discovery;
 use cottonpoint_net::clients::Clients;
-use cottonpoint_net::list::DiscoveryAddress;
+use cottonpoint_net::list::{DiscoveryAddress, NameTable};
 use cottonpoint_net::servers::{EndpointConnections, PoolSettings};
 use std::rc::Rc;
 
@@ -27,6 +27,8 @@
     pub clients: Rc<Clients>,
     /// Endpoint connections.
     pub endpoint_connections: Rc<EndpointConnections>,
+    /// The numbers of zones and machine kinds, shared with the endpoint list.
+    pub names: NameTable,
     /// Receives each address of discovery that differs from the one before, in order.
     pub address_updates: Sender<DiscoveryAddress>,
 }
@@ -38,7 +40,7 @@
         let platform = &config.platform;
         if *platform != self.config.platform {
             let renumbering = platform.renumbering_since(&self.config.platform);
-            self.sidecar.reload_settings(platform.balancer.clone(), &renumbering);
+            self.sidecar.reload_settings(self.names.balancer_settings(platform), &renumbering);
             self.clients.set_platform(platform.clone());
         }
         self.sidecar.set_drain_grace(platform.drain_grace);
--- a/crates/program/src/config.rs
+++ b/crates/program/src/config.rs
@@ -168,8 +168,7 @@
         let mut known = file.known;
         if let Some(known) = &mut known {
             known.reset = true;
-            let names = NameTable { zones: platform.zones.clone(), kinds: platform.kinds.clone() };
-            if let Some(faulty) = known.entries(&names).faulty.first() {
+            if let Some(faulty) = known.entries(&NameTable::default()).faulty.first() {
                 return Err(config_error("known", faulty));
             }
         }
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -104,10 +104,10 @@
     executor: Executor,
 ) -> io::Result<()> {
     let settings = config.platform.clone();
-    let names = NameTable { zones: settings.zones.clone(), kinds: settings.kinds.clone() };
+    let names = NameTable::default();
     let clock = Clock::start();
     let (sidecar, list_requests) =
-        Sidecar::new(settings.balancer.clone(), config.seed, clock, executor.clone());
+        Sidecar::new(names.balancer_settings(&settings), config.seed, clock, executor.clone());
     sidecar.set_drain_grace(settings.drain_grace);
     let endpoint_connections = EndpointConnections::new(pool_settings(&config), executor.clone());
     match &config.known {
@@ -120,7 +120,7 @@
         sidecar: sidecar.clone(),
         endpoint_connections: endpoint_connections.clone(),
         discovery: discovery_address(&config),
-        names,
+        names: names.clone(),
         generation,
         discovery_changes,
         random: fastrand::Rng::with_seed(config.seed),
@@ -178,8 +178,14 @@
     let _metrics_task = metrics.map(|listener| executor.spawn(metrics_server.serve(listener)));
 
     let (stop_sender, stop_receiver) = async_channel::bounded::<()>(1);
-    let mut active =
-        ActiveConfig { config, sidecar, clients: clients.clone(), endpoint_connections, address_updates };
+    let mut active = ActiveConfig {
+        config,
+        sidecar,
+        clients: clients.clone(),
+        endpoint_connections,
+        names,
+        address_updates,
+    };
     let control_task = executor.spawn(async move {
         while let Some(event) = control_events.next().await {
             match event {
--- a/crates/program/tests/sidecar/embedded.rs
+++ b/crates/program/tests/sidecar/embedded.rs
@@ -27,7 +27,9 @@
         let config = Config::parse(&text, |_| None).expect("a good configuration");
         let settings = config.platform;
         let executor: Executor = Rc::new(LocalExecutor::new());
-        let (sidecar, _) = Sidecar::new(settings.balancer, 1, Clock::start(), executor.clone());
+        let names = NameTable::default();
+        let balancer_settings = names.balancer_settings(&settings);
+        let (sidecar, _) = Sidecar::new(balancer_settings, 1, Clock::start(), executor.clone());
         let pool_settings = PoolSettings {
             connect_timeout,
             idle_timeout: settings.conn_idle,
@@ -36,7 +38,6 @@
             field_names: settings.field_names,
         };
         let endpoint_connections = EndpointConnections::new(pool_settings, executor.clone());
-        let names = NameTable { zones: settings.zones, kinds: settings.kinds };
         let known = config.known.expect("a list");
         let entries = known.entries(&names);
         assert_eq!(entries.faulty, []);
--- a/crates/program/tests/sidecar/reloads.rs
+++ b/crates/program/tests/sidecar/reloads.rs
@@ -118,3 +118,32 @@
     assert!(sidecar.request(&LOOK.replace("c1", "dropped")).starts_with("HTTP/1.1 404"));
     sidecar.stop_and_join();
 }
+
+/// Guards against zones that are told apart by their place in the settings: a configuration with
+/// another order sent requests across zones, and new zones counted as one, in which a keyed request
+/// may be repeated.
+#[test]
+fn zones_keep_their_identity_when_their_order_changes() {
+    let (own, other, discovery) = (ScriptedServer::new(), ScriptedServer::new(), ScriptedServer::new());
+    let lines = [
+        instance_json("t0", own.address, "active"),
+        instance_json("t1", other.address, "active").replace(r#""zone":"a""#, r#""zone":"b""#),
+    ];
+    let config = config_json(discovery.address, &list_json(1, true, &lines), 1024)
+        .replace(r#""a_new_key""#, r#""penalties":{"cross_zone":0.5},"a_new_key""#);
+    let in_order = |zones: &str, own: usize| {
+        let zones = format!(r#""my_zone":{own},"azs":{zones}"#);
+        config.replace(r#""my_zone":0,"azs":["a"]"#, &zones)
+    };
+    let (sidecar, console) = TestSidecar::with_console(&in_order(r#"["a","b"]"#, 0), None);
+    let (to_own, to_other) = (own.echo_requests(), other.echo_requests());
+    for (count, (zones, own)) in [(r#"["b","a"]"#, 1), (r#"["c","b","a"]"#, 2)].into_iter().enumerate() {
+        reload_and_wait(&sidecar, console, &in_order(zones, own), count + 1);
+        for n in 0..8 {
+            let request = LOOK.replace("c1", &format!("c{count}x{n}"));
+            assert!(sidecar.request(&request).starts_with("HTTP/1.1 200"));
+        }
+        assert_eq!((to_own.try_iter().count(), to_other.try_iter().count()), (8, 0), "{zones}");
+    }
+    sidecar.stop_and_join();
+}
