A superseded poll that is dropped bounds the lease: an answer to it counts as notified

What callers could see: after five moves of discovery in a row, none of them answered, requests to an endpoint whose drain the first discovery had written to the process.

The oldest superseded poll is still dropped, so that descriptors stay bounded. It is reported to the lease like an answer that could not be applied: the list is suspended when the grace is over unless the newest discovery answers before.

list_is_suspended_after_a_superseded_poll_is_dropped_until_discovery_answers fails without the report and passes with it.

--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -139,8 +139,11 @@
                 }
                 WatchEvent::SupersededPollEnded(end) => self.apply_superseded(end),
                 WatchEvent::DiscoveryMoved(address) => {
-                    state.in_flight.take().into_iter().for_each(|poll| superseded.keep(poll));
+                    let has_dropped_one = state.in_flight.take().is_some_and(|poll| superseded.keep(poll));
                     state = PollState::new(self.switch_discovery(address));
+                    if has_dropped_one {
+                        self.record_unread_answer();
+                    }
                 }
                 WatchEvent::Unsubscribed => return,
             }
--- a/crates/net/src/list/superseded.rs
+++ b/crates/net/src/list/superseded.rs
@@ -16,16 +16,19 @@
 pub(super) struct SupersededPolls(VecDeque<Poll>);
 
 impl SupersededPolls {
-    /// Keeps a poll that has been sent; one that has not been sent is dropped.
-    pub fn keep(&mut self, poll: Poll) {
+    /// Keeps a poll that has been sent; one that has not been sent is dropped. Returns whether the
+    /// oldest one had to make room: what discovery writes to it from now on is not read.
+    pub fn keep(&mut self, poll: Poll) -> bool {
         if !poll.is_sent() {
-            return;
+            return false;
         }
         poll.supersede();
-        if self.0.len() == MAX_SUPERSEDED_POLLS {
+        let is_full = self.0.len() == MAX_SUPERSEDED_POLLS;
+        if is_full {
             self.0.pop_front();
         }
         self.0.push_back(poll);
+        is_full
     }
 
     /// Drops all polls and closes their connections.
--- a/crates/net/src/list/update.rs
+++ b/crates/net/src/list/update.rs
@@ -2,7 +2,8 @@
 //!
 //! Whatever discovery has written counts as notified. So an answer is either applied, or it is
 //! reported to the sidecar as one that could not be, which bounds the lease on the list held. No
-//! answer is dropped silently, except one to a superseded poll that is no newer than the list held.
+//! answer is dropped silently, except one to a superseded poll that is no newer than the list held,
+//! and neither is a poll that could still be answered.
 
 use super::Watcher;
 use super::answer::{Answer, Entries};
@@ -106,6 +107,14 @@
         self.sidecar.record_poll(PollEvent::SupersededUnusable { since });
     }
 
+    /// Reports that a superseded poll is no longer read. Discovery may have written an answer to it,
+    /// which counts as notified.
+    pub(super) fn record_unread_answer(&self) {
+        tracing::debug!("too many superseded polls; the oldest is no longer read");
+        let since = self.sidecar.clock().now();
+        self.sidecar.record_poll(PollEvent::SupersededUnusable { since });
+    }
+
     /// Parses the answer to a poll for the changes since `from_generation` into the core's types.
     fn parse(&self, body: &[u8], from_generation: Option<u64>) -> io::Result<(Answer, Entries)> {
         let mut answer: Answer = serde_json::from_slice(body)?;
--- a/crates/program/tests/sidecar/crossing.rs
+++ b/crates/program/tests/sidecar/crossing.rs
@@ -50,6 +50,12 @@
         });
     }
 
+    /// Runs the follower and returns whether the list is suspended after that.
+    fn suspended_within(&self, time: Duration) -> bool {
+        self.run_for(time);
+        self.embedded.sidecar.is_suspended()
+    }
+
     fn takes_work(&self, endpoint: &str) -> bool {
         self.embedded.sidecar.takes_work(endpoint_id(endpoint))
     }
@@ -112,6 +118,27 @@
     assert!(!follower.takes_work("t0"));
 }
 
+/// Guards against a superseded poll that is dropped without a trace, when one more change of the
+/// address comes than there is room for: what discovery writes to it counts as known too.
+#[test]
+fn list_is_suspended_after_a_superseded_poll_is_dropped_until_discovery_answers() {
+    let before = ScriptedServer::new();
+    let follower = Follower::start(&before);
+    let mut polls = vec![follower.wait_for_poll(&before)];
+    let others = [(); 5].map(|()| ScriptedServer::new());
+    for (count, discovery) in others.iter().enumerate() {
+        assert!(!follower.suspended_within(Duration::ZERO), "{count} moves");
+        follower.move_to(discovery);
+        polls.push(follower.wait_for_poll(discovery));
+    }
+    assert_eq!(polls[0].read_next(), "", "the oldest poll is no longer read");
+    assert!(follower.suspended_within(Duration::from_millis(400)));
+    let newest = polls.last_mut().expect("six");
+    newest.reply("200 OK", "", &list_json(2, false, &two_endpoints(true)[..1]));
+    follower.run_for(Duration::from_millis(50));
+    assert!(!follower.embedded.sidecar.is_suspended() && !follower.takes_work("t0"));
+}
+
 /// Guards against discarding an answer that had arrived when one more change of the address than
 /// there is room for superseded polls drops the oldest.
 #[test]
