Count the classes in force, however many classes earlier configurations have had

What operators saw: after configurations that named more than 256 classes in all, DUMP showed 0 for a new class for ever.

A configuration now makes room for its classes by dropping the counters of others; the total of attempts is counted by itself.

newest_class_is_counted_after_any_number_of_classes_before (300 configurations) failed before and passes now.

--- a/crates/core/src/counts.rs
+++ b/crates/core/src/counts.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 /// Maximum number of classes counted. Settings name few, and a class removed by a reload keeps its
-/// counters; beyond this number a new name is not counted.
+/// counters until others need the room; beyond this number a new name is not counted.
 const MAX_CLASSES: usize = 256;
 
 /// How a request ended for its client.
@@ -47,6 +47,7 @@
     poll_failures: RefCell<BTreeMap<&'static str, u64>>,
     lease_expiries: Cell<u64>,
     classes: RefCell<BTreeMap<String, ClassCounts>>,
+    attempts_written: Cell<u64>,
     configurations: [Cell<u64>; 2],
     bad_requests: Cell<u64>,
 }
@@ -104,6 +105,16 @@
         }
     }
 
+    /// Makes room for the counters of the classes in force: where there are too many, those of other
+    /// classes are dropped.
+    pub fn make_room_for(&self, in_force: &[String]) {
+        let mut classes = self.classes.borrow_mut();
+        let new = in_force.iter().filter(|class| !classes.contains_key(*class)).count();
+        if classes.len() + new > MAX_CLASSES {
+            classes.retain(|class, _| in_force.contains(class));
+        }
+    }
+
     /// Counts a request of this class that has had its final answer, or whose client has gone.
     pub fn count_request(&self, class: &str, outcome: RequestOutcome) {
         self.update_class(class, |c| {
@@ -118,9 +129,15 @@
 
     /// Counts an attempt of this class that was written completely to its endpoint.
     pub fn relayed(&self, class: &str) {
+        increment(&self.attempts_written);
         self.update_class(class, |c| c.relayed += 1);
     }
 
+    /// Attempts written completely to an endpoint, of all classes that there have been.
+    pub fn attempts_written(&self) -> u64 {
+        self.attempts_written.get()
+    }
+
     /// Counts a request that cannot be read, or cannot be served as it is.
     pub fn bad_request(&self) {
         increment(&self.bad_requests);
--- a/crates/program/src/active.rs
+++ b/crates/program/src/active.rs
@@ -42,6 +42,7 @@
             let renumbering = platform.renumbering_since(&self.config.platform);
             self.sidecar.reload_settings(self.names.balancer_settings(platform), &renumbering);
             self.clients.set_platform(platform.clone());
+            self.sidecar.counts().make_room_for(&platform.classes);
         }
         self.sidecar.set_drain_grace(platform.drain_grace);
         let address = discovery_address(&config);
--- a/crates/program/src/console.rs
+++ b/crates/program/src/console.rs
@@ -97,12 +97,11 @@
         for (class, c) in counts.classes() {
             operations.insert(class, class_statistics(c));
         }
-        let relayed: u64 = counts.classes().values().map(|c| c.relayed).sum();
         let (listed, out_of_rotation) = self.sidecar.rotation();
         let (accepted, invalid) = counts.configurations();
         json!({
             "operations": operations,
-            "relayed": relayed,
+            "relayed": counts.attempts_written(),
             "open_requests": self.sidecar.open_requests(),
             "registry_entries": listed,
             "out_of_rotation": out_of_rotation,
--- a/crates/program/tests/sidecar/reloads.rs
+++ b/crates/program/tests/sidecar/reloads.rs
@@ -77,6 +77,28 @@
     attempt: AcceptedConnection,
 }
 
+/// Guards against a class in force that is not counted, because configurations before it have named
+/// as many classes as are counted at once.
+#[test]
+fn newest_class_is_counted_after_any_number_of_classes_before() {
+    let (endpoint, discovery) = (ScriptedServer::new(), ScriptedServer::new());
+    let known = list_json(1, true, &[instance_json("t0", endpoint.address, "active")]);
+    let config = config_json(discovery.address, &known, 1024);
+    let _requests = endpoint.echo_requests();
+    let (sidecar, console) = TestSidecar::with_console(&config, None);
+    let mut counts = Vec::new();
+    for n in 1..=300 {
+        let class = format!("class{n}");
+        reload_and_wait(&sidecar, console, &config.replace("\"look\"", &format!("\"{class}\"")), n);
+        let request = LOOK.replace("c1", &class).replace("look", &class);
+        assert!(sidecar.request(&request).starts_with("HTTP/1.1 200"), "{class}");
+        counts.push(console_statistics(console)["operations"][&class]["fulfilled"].clone());
+    }
+    assert!(counts.iter().all(|count| *count == 1), "{counts:?}");
+    assert_eq!(console_statistics(console)["relayed"], 300);
+    sidecar.stop_and_join();
+}
+
 const TRANSFER: &str = "POST /transfer HTTP/1.1
 Host: service.internal
 X-Correlation-Id: transfer
