An idle endpoint connection obeys the idle time of the configuration in force

What callers could see: a 502 for a request of an unsafe class after a configuration with a shorter idle time.

connection_returned_before_a_reload_is_not_used_beyond_the_new_idle_time failed before (no new connection in 20 s) and passes now.

--- a/crates/net/src/servers/mod.rs
+++ b/crates/net/src/servers/mod.rs
@@ -63,11 +63,17 @@
 /// An idle connection, and the task that drops it when it closes or has been idle for too long.
 struct IdleConnection {
     id: u64,
-    reusable_at: Instant,
+    idle_since: Instant,
     connection: Connection,
     _monitor: Task<()>,
 }
 
+impl IdleConnection {
+    fn reusable_at(&self) -> Instant {
+        self.idle_since + REUSE_DELAY
+    }
+}
+
 /// The connections to all endpoints.
 pub struct EndpointConnections {
     settings: RefCell<PoolSettings>,
@@ -146,7 +152,7 @@
         let pending_reuse = || {
             let pools = self.idle.borrow();
             let pool = pools.get(&endpoint.id)?;
-            let (earliest, latest) = (pool.first()?.reusable_at, pool.last()?.reusable_at);
+            let (earliest, latest) = (pool.first()?.reusable_at(), pool.last()?.reusable_at());
             (earliest > Instant::now()).then_some(latest)
         };
         if let Some(reusable) = pending_reuse() {
@@ -157,10 +163,12 @@
             let idle = {
                 let mut pools = self.idle.borrow_mut();
                 let pool = pools.get_mut(&endpoint.id)?;
-                pool.remove(pool.iter().rposition(|idle| idle.reusable_at <= now)?)
+                pool.remove(pool.iter().rposition(|idle| idle.reusable_at() <= now)?)
             };
+            // The timeout may have become shorter since the connection was returned.
+            let has_expired = idle.idle_since + self.settings.borrow().idle_timeout <= now;
             let connection = idle.connection;
-            if connection.address == endpoint.address && is_open(&connection.stream) {
+            if !has_expired && connection.address == endpoint.address && is_open(&connection.stream) {
                 return Some(connection);
             }
         }
@@ -216,8 +224,7 @@
                 monitor.detach(); // This is the task that is running: dropping it would cancel it.
             }
         });
-        let idle =
-            IdleConnection { id, reusable_at: Instant::now() + REUSE_DELAY, connection, _monitor: monitor };
+        let idle = IdleConnection { id, idle_since: Instant::now(), connection, _monitor: monitor };
         self.idle.borrow_mut().entry(endpoint).or_default().push(idle);
     }
 }
--- a/crates/program/tests/sidecar/reloads.rs
+++ b/crates/program/tests/sidecar/reloads.rs
@@ -99,6 +99,30 @@
     sidecar.stop_and_join();
 }
 
+/// Guards against a connection that is used again after the idle time of the configuration in force,
+/// because it was returned under a longer one: the endpoint closes it under the request, which may
+/// have run then.
+#[test]
+fn connection_returned_before_a_reload_is_not_used_beyond_the_new_idle_time() {
+    let (endpoint, discovery) = (ScriptedServer::new(), ScriptedServer::new());
+    let known = list_json(1, true, &[instance_json("t0", endpoint.address, "active")]);
+    let config = config_json(discovery.address, &known, 1024);
+    let (sidecar, console) = TestSidecar::with_console(&config, None);
+    let mut client = sidecar.client();
+    send(&mut client, LOOK);
+    let mut first = endpoint.accept();
+    first.reply("200 OK", "", "first");
+    assert!(read_message(&mut client).ends_with("first"));
+    let shorter = r#""conn_idle_ns":200000000,"connect_timeout_ns""#;
+    reload_and_wait(&sidecar, console, &config.replace("\"connect_timeout_ns\"", shorter), 1);
+    thread::sleep(Duration::from_millis(200));
+    send(&mut client, LOOK);
+    let mut second = endpoint.accept();
+    second.reply("200 OK", "", "second");
+    assert!(read_message(&mut client).ends_with("second"));
+    sidecar.stop_and_join();
+}
+
 const TRANSFER: &str = "POST /transfer HTTP/1.1
 Host: service.internal
 X-Correlation-Id: transfer
