Store each order on an endpoint by itself, before it is confirmed; the last order holds

Cause: each process wrote its own whole set of names to the file that both share, without a look at what the other had written since its last check (every 200 ms). The later write dropped the other's endpoint, and the other process took that for a call back. Also: a call back for an endpoint that the process did not know to be out was confirmed and not written; an order was confirmed before it was stored, so that SIGKILL lost it; and one that a slow disk delayed undid a later one of the other process.

Now an order changes one endpoint (orders.rs, without I/O). It is added to what is stored: read, write beside it, then, under a lock of the directory, look whether the files are still those read, and rename; else once more. The lock is held for the renames alone, so a process whose disk hangs keeps none waiting. Each order has the time at which it was given, on the clock that both processes share, and none is carried out behind a later one on the same endpoint; the last ones stand in a second file beside the names, whose form stays. The console reads the file before an order and confirms it once it is stored, or after 0.5 s of a hung disk.

Evidence: tests/sidecar/shared_state.rs, with two real processes.

--- a/crates/net/src/console.rs
+++ b/crates/net/src/console.rs
@@ -14,6 +14,7 @@
 use std::fmt;
 use std::io;
 use std::net::{TcpListener, TcpStream};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +24,8 @@
 /// send nothing, or half a command, and stay connected for 4 s (the deployment's requirements); the
 /// line may still be completed until then.
 const LINE_TIMEOUT: Duration = Duration::from_millis(4500);
+/// The time after which writing an answer fails if the operator does not read it.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The maximum number of connections. Beyond it, the connection that has waited longest without a
 /// complete line is closed to make room. Each holds one descriptor.
 pub const MAX_CONNECTIONS: usize = 32;
@@ -98,13 +101,11 @@
     }
 }
 
-/// Serves the console on `listener` until the task is dropped. `answer` returns the complete text
-/// of the answer to a command, including line endings.
-pub async fn serve(
-    listener: TcpListener,
-    executor: Executor,
-    answer: Rc<dyn Fn(ConsoleCommand) -> String>,
-) -> io::Result<()> {
+/// Carries out a command and returns the complete text of its answer, including line endings.
+pub type Answer = dyn Fn(ConsoleCommand) -> Pin<Box<dyn Future<Output = String>>>;
+
+/// Serves the console on `listener` until the task is dropped.
+pub async fn serve(listener: TcpListener, executor: Executor, answer: Rc<Answer>) -> io::Result<()> {
     let listener = Async::new(listener)?;
     let closed = async_channel::bounded(1);
     let connections =
@@ -129,8 +130,7 @@
         executor
             .spawn(async move {
                 let _ = stream.get_ref().set_nodelay(true);
-                let answered =
-                    with_timeout(LINE_TIMEOUT, connections.serve_one(id, &stream, &*answer)).await;
+                let answered = connections.serve_one(id, &stream, &*answer).await;
                 connections.awaiting_line.borrow_mut().remove(&id);
                 let was_answered = answered.unwrap_or(false);
                 close(&stream, if was_answered { LINGERING_TIMEOUT } else { Duration::ZERO }).await;
@@ -158,32 +158,27 @@
 
 impl OpenConnections {
     /// Serves the one command of a connection. Returns whether it was answered.
-    async fn serve_one(
-        &self,
-        id: u64,
-        stream: &Async<TcpStream>,
-        answer: &dyn Fn(ConsoleCommand) -> String,
-    ) -> io::Result<bool> {
+    async fn serve_one(&self, id: u64, stream: &Async<TcpStream>, answer: &Answer) -> io::Result<bool> {
         let (evict, evicted) = async_channel::bounded(1);
         self.awaiting_line.borrow_mut().insert(id, evict);
         let eviction = async {
             let _ = evicted.recv().await;
             Ok(None)
         };
-        let line = future::or(read_line(stream), eviction).await?;
+        let line = with_timeout(LINE_TIMEOUT, future::or(read_line(stream), eviction)).await?;
         self.awaiting_line.borrow_mut().remove(&id);
         let Some(line) = line else { return Ok(false) };
         let reply = match line.as_deref().map(std::str::from_utf8) {
             Ok(Ok(text)) => match ConsoleCommand::parse(text)
                 .inspect(|command| tracing::debug!(call = ?command, "console command"))
             {
-                Ok(command) => answer(command),
+                Ok(command) => answer(command).await,
                 Err(invalid) => answer_line(Err(invalid.to_string())),
             },
             Ok(Err(_)) => answer_line(Err("not UTF-8".to_owned())),
             Err(LineTooLong) => answer_line(Err("line too long".to_owned())),
         };
-        crate::write_all(stream, reply.as_bytes()).await.map(|()| true)
+        with_timeout(WRITE_TIMEOUT, crate::write_all(stream, reply.as_bytes())).await.map(|()| true)
     }
 }
 
--- a/crates/program/src/console.rs
+++ b/crates/program/src/console.rs
@@ -2,13 +2,20 @@
 
 use crate::fleet::{self, Membership};
 use crate::taken_out::{DISABLED_LIMIT, DisabledEndpoints};
+use async_io::Timer;
 use cottonpoint_core::{Sidecar, endpoint_id};
 use cottonpoint_mesh::Command;
 use cottonpoint_net::clients::Clients;
 use cottonpoint_net::console::{ConsoleCommand, answer_line};
+use futures_lite::future;
 use serde_json::{Map, Value, json};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// How long the answer to an order waits until the order is stored: an answer is due within a second
+/// (the deployment's requirements).
+const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// What the console commands act on.
 pub struct Console {
@@ -34,18 +41,21 @@
 
     /// Applies what another process of the sidecar has changed in the file meanwhile.
     pub fn apply_file_changes(&self) {
-        let Some((disabled, enabled)) = self.disabled.read_changes() else { return };
-        for name in disabled {
+        let Some(changed) = self.disabled.read_changes() else { return };
+        for name in changed.disabled {
             self.sidecar.restore_offline(endpoint_id(&name));
         }
-        for name in enabled {
+        for name in changed.enabled {
             let _ = self.sidecar.set_offline(endpoint_id(&name), false);
         }
     }
 
-    /// Carries out a command and returns the whole answer.
-    pub fn answer(&self, command: ConsoleCommand) -> String {
+    /// Carries out a command and returns the whole answer. An order on an endpoint holds at once,
+    /// and is stored before the answer, unless the disk takes too long.
+    pub async fn answer(&self, command: ConsoleCommand) -> String {
         match command {
+            ConsoleCommand::Offline(name) => self.set_disabled(&name, true).await,
+            ConsoleCommand::Online(name) => self.set_disabled(&name, false).await,
             ConsoleCommand::Health if self.stopping.get() => answer_line(Err("stopping".to_owned())),
             ConsoleCommand::Health => answer_line(Ok(String::new())),
             // The statistics have no status line: one JSON line, then the line that ends the
@@ -70,19 +80,30 @@
                     .for_each(|fleet| fleet.send_command(Command::Join));
                 answer_line(Ok(String::new()))
             }
-            ConsoleCommand::Offline(name) if self.disabled.is_full() => {
-                answer_line(Err(format!("{name}: {DISABLED_LIMIT} endpoints are out already")))
-            }
-            ConsoleCommand::Offline(name) => self.set_disabled(&name, true),
-            ConsoleCommand::Online(name) => self.set_disabled(&name, false),
         }
     }
 
-    fn set_disabled(&self, name: &str, disable: bool) -> String {
+    async fn set_disabled(&self, name: &str, disable: bool) -> String {
+        // What the other process of an upgrade has confirmed comes before this order.
+        self.apply_file_changes();
+        if disable && self.disabled.is_full() {
+            return answer_line(Err(format!("{name}: {DISABLED_LIMIT} endpoints are out already")));
+        }
         if self.sidecar.set_offline(endpoint_id(name), disable).is_err() {
             return answer_line(Err(format!("no endpoint {} was ever listed", name.escape_debug())));
         }
-        self.disabled.set(name, disable);
+        let number = self.disabled.set(name, disable);
+        let stored = async {
+            self.disabled.wait_until_stored(number).await;
+            true
+        };
+        let timeout = async {
+            Timer::after(STORE_TIMEOUT).await;
+            false
+        };
+        if !future::or(stored, timeout).await {
+            tracing::warn!(endpoint = name, "order on an endpoint confirmed before it is stored");
+        }
         answer_line(Ok(String::new()))
     }
 
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod log;
 pub mod metrics;
 pub mod operator;
+pub mod orders;
 pub mod pid_file;
 pub mod serve;
 pub mod state;
--- a/crates/program/src/pid_file.rs
+++ b/crates/program/src/pid_file.rs
@@ -29,7 +29,7 @@
     /// started: the write may be delayed by a slow disk.
     pub fn announce(&self) -> io::Result<()> {
         let unchanged = || std::fs::read_to_string(&self.file).ok() == self.initial_content;
-        crate::state::write_atomically_if(&self.file, &std::process::id().to_string(), unchanged).map(drop)
+        crate::state::replace_files(&[(&self.file, &std::process::id().to_string())], unchanged).map(drop)
     }
 
     /// Whether another process of the sidecar has announced itself and still runs.
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -13,7 +13,6 @@
 use cottonpoint_decide::ListKind;
 use cottonpoint_mesh::Command;
 use cottonpoint_net::clients::Clients;
-use cottonpoint_net::console::ConsoleCommand;
 use cottonpoint_net::list::{NameTable, Watcher};
 use cottonpoint_net::servers::EndpointConnections;
 use futures_lite::{Stream, StreamExt, future};
@@ -164,7 +163,10 @@
     });
     let _console_task = console_listener.map(|listener| {
         let console = console.clone();
-        let answer: Rc<dyn Fn(ConsoleCommand) -> String> = Rc::new(move |command| console.answer(command));
+        let answer: Rc<cottonpoint_net::console::Answer> = Rc::new(move |command| {
+            let console = console.clone();
+            Box::pin(async move { console.answer(command).await })
+        });
         executor.spawn(cottonpoint_net::console::serve(listener, executor.clone(), answer))
     });
     let _fleet_task =
--- a/crates/program/src/state.rs
+++ b/crates/program/src/state.rs
@@ -1,7 +1,15 @@
-//! Files in the state directory (`$TMPDIR`), which outlive a process of the sidecar.
+//! Files in the state directory (`$TMPDIR`), which outlive a process of the sidecar, and which the
+//! two processes of an upgrade share.
+
+mod lock;
+#[cfg(test)]
+mod tests;
 
 use async_channel::{Receiver, Sender};
+use event_listener::Event;
+use lock::DirectoryLock;
 use std::cell::Cell;
+use std::fs::File;
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -16,66 +24,93 @@
 /// Replaces a file atomically: writes and syncs a temporary file beside it, then renames that. A
 /// reader sees the old text or the new one, also if the process is killed in between.
 pub fn write_atomically(file: &Path, text: &str) -> io::Result<()> {
-    write_atomically_if(file, text, || true).map(drop)
+    replace_files(&[(file, text)], || true).map(drop)
 }
 
-/// The same, but the file is replaced only if `is_current` returns true right before. Returns
-/// whether it was replaced.
-pub fn write_atomically_if(file: &Path, text: &str, is_current: impl FnOnce() -> bool) -> io::Result<bool> {
-    let temporary = temporary_path(file);
-    let result = std::fs::File::create(&temporary).and_then(|mut new| {
-        new.write_all(text.as_bytes())?;
-        new.sync_all()
-    });
-    if let Err(why) = result {
-        // An incomplete file would only use disk space.
-        let _ = std::fs::remove_file(&temporary);
-        return Err(why);
-    }
+/// Replaces files of one directory, in this order, only if `is_current` returns true right before.
+/// No other process replaces a file of the directory between that and the last rename. Returns
+/// whether they were replaced. After an error any number of them may have been.
+///
+/// The disk may take seconds for the texts; other processes are kept waiting only for the renames.
+pub fn replace_files(files: &[(&Path, &str)], is_current: impl FnOnce() -> bool) -> io::Result<bool> {
+    let written: io::Result<Vec<TemporaryFile>> =
+        files.iter().map(|(file, text)| TemporaryFile::write(file, text)).collect();
+    let written = written?;
+    let _lock = written.first().map(|first| DirectoryLock::of_file(&first.target)).transpose()?;
     if !is_current() {
-        let _ = std::fs::remove_file(&temporary);
         return Ok(false);
     }
-    std::fs::rename(&temporary, file).map(|()| true)
+    written.into_iter().try_for_each(TemporaryFile::replace_target)?;
+    Ok(true)
+}
+
+/// A text that is written and synced beside its file. It is removed when it is dropped.
+struct TemporaryFile {
+    path: PathBuf,
+    target: PathBuf,
+}
+
+impl TemporaryFile {
+    fn write(target: &Path, text: &str) -> io::Result<TemporaryFile> {
+        // Created first, so that an incomplete file, which only uses disk space, is removed.
+        let temporary = TemporaryFile { path: temporary_path(target), target: target.to_owned() };
+        let mut file = File::create(&temporary.path)?;
+        file.write_all(text.as_bytes())?;
+        file.sync_all()?;
+        Ok(temporary)
+    }
+
+    fn replace_target(self) -> io::Result<()> {
+        std::fs::rename(&self.path, &self.target)
+    }
+}
+
+impl Drop for TemporaryFile {
+    fn drop(&mut self) {
+        // Once renamed it is not there any more.
+        let _ = std::fs::remove_file(&self.path);
+    }
 }
 
 fn temporary_path(file: &Path) -> PathBuf {
     file.with_extension(format!("{}.new", std::process::id()))
 }
 
-/// The number of a text to write, and the text.
-type NumberedText = (u64, String);
+/// The number of a change, in the order of [`FileWriter::write`], from 1.
+pub type ChangeNumber = u64;
 
-/// Writes one file atomically and repeatedly, on a thread of its own: replacing a file can take the
-/// disk a second, and the single thread that serves clients must not wait for it. Of the pending
-/// texts only the newest is written. Dropping the writer does not block: the thread ends once all
-/// is written, or with the process.
-pub struct FileWriter {
+/// Writes changes of one file, on a thread of its own: replacing a file can take the disk a second,
+/// and the single thread that serves clients must not wait for it. Of the pending changes only the
+/// newest is written, so each has to contain all that is not written yet. Dropping the writer does
+/// not block: the thread ends once all is written, or with the process.
+pub struct FileWriter<T> {
     file: PathBuf,
-    queue: Sender<NumberedText>,
-    pending: Receiver<NumberedText>,
-    /// Whether the thread has been started, which happens with the first text.
+    write: fn(&Path, &T) -> io::Result<()>,
+    queue: Sender<(ChangeNumber, T)>,
+    pending: Receiver<(ChangeNumber, T)>,
+    /// Whether the thread has been started, which happens with the first change.
     thread_started: Cell<bool>,
-    /// The number of the newest text, and of the newest one written.
-    newest_number: Cell<u64>,
+    /// The number of the newest change, and of the newest one written.
+    newest_number: Cell<ChangeNumber>,
     written_number: Arc<AtomicU64>,
     /// Notified by the thread after each write.
-    write_notification: (Sender<()>, Receiver<()>),
+    write_notification: Arc<Event>,
 }
 
-impl FileWriter {
-    /// A writer of `file`; nothing is written until there is a text.
-    pub fn new(file: PathBuf) -> FileWriter {
+impl<T: Send + 'static> FileWriter<T> {
+    /// A writer of `file` by the function `write`; nothing is written until there is a change.
+    pub fn new(file: PathBuf, write: fn(&Path, &T) -> io::Result<()>) -> FileWriter<T> {
         let (queue, pending) = async_channel::bounded(1);
         let (thread_started, newest_number, written_number) = Default::default();
         FileWriter {
             file,
+            write,
             queue,
             pending,
             thread_started,
             newest_number,
             written_number,
-            write_notification: async_channel::bounded(1),
+            write_notification: Arc::default(),
         }
     }
 
@@ -84,56 +119,74 @@
         &self.file
     }
 
-    /// Queues the text for writing. A failed write is logged and retried until it succeeds or a
-    /// newer text arrives.
-    pub fn write(&self, text: String) {
+    /// Queues a change for writing and returns its number. A failed write is logged and retried
+    /// until it succeeds or a newer change arrives.
+    pub fn write(&self, change: T) -> ChangeNumber {
         let number = self.newest_number.get() + 1;
         self.newest_number.set(number);
-        let _ = self.queue.force_send((number, text));
-        if self.thread_started.replace(true) {
-            return;
+        let _ = self.queue.force_send((number, change));
+        if !self.thread_started.replace(true) {
+            self.start_thread();
         }
-        let (file, pending, written_number) =
-            (self.file.clone(), self.pending.clone(), self.written_number.clone());
-        let write_notification = self.write_notification.0.clone();
+        number
+    }
+
+    fn start_thread(&self) {
+        let (file, write, pending) = (self.file.clone(), self.write, self.pending.clone());
+        let (written_number, write_notification) =
+            (self.written_number.clone(), self.write_notification.clone());
         std::thread::spawn(move || {
-            while let Ok(text) = pending.recv_blocking() {
-                let number = write_with_retries(&file, text, &pending);
+            while let Ok(change) = pending.recv_blocking() {
+                let number = write_with_retries(&file, write, change, &pending);
                 written_number.store(number, Ordering::Release);
-                let _ = write_notification.try_send(());
+                write_notification.notify(usize::MAX);
             }
         });
     }
 
-    /// Whether a text is not written yet: until it is, the file is older than what this process
+    /// Number of the newest change that is written, or that a written one contains.
+    pub fn written_number(&self) -> ChangeNumber {
+        self.written_number.load(Ordering::Acquire)
+    }
+
+    /// Whether a change is not written yet: until it is, the file is older than what this process
     /// knows.
-    pub fn has_unwritten_text(&self) -> bool {
-        self.written_number.load(Ordering::Acquire) != self.newest_number.get()
+    pub fn has_unwritten_change(&self) -> bool {
+        self.written_number() != self.newest_number.get()
     }
 
-    /// Waits until all texts are written. A hung disk blocks it indefinitely: the caller limits the
+    /// Waits until a change is written. A hung disk blocks it indefinitely: the caller limits the
     /// time.
-    pub async fn flush(&self) {
-        while self.has_unwritten_text() {
-            let _ = self.write_notification.1.recv().await;
+    pub async fn wait_until_written(&self, number: ChangeNumber) {
+        while self.written_number() < number {
+            let notified = self.write_notification.listen();
+            if self.written_number() < number {
+                notified.await;
+            }
         }
     }
+
+    /// Waits until all changes are written, as [`FileWriter::wait_until_written`] does.
+    pub async fn flush(&self) {
+        self.wait_until_written(self.newest_number.get()).await;
+    }
 }
 
-/// Writes a text, or a newer one that arrives meanwhile, until a write succeeds, and returns the
-/// number of the text. After a failure it gives up if the writer has been dropped.
-fn write_with_retries(
+/// Writes a change, or a newer one that arrives meanwhile, until a write succeeds, and returns the
+/// number of the change. After a failure it gives up if the writer has been dropped.
+fn write_with_retries<T>(
     file: &Path,
-    (mut number, mut text): NumberedText,
-    newer: &Receiver<NumberedText>,
-) -> u64 {
+    write: fn(&Path, &T) -> io::Result<()>,
+    (mut number, mut change): (ChangeNumber, T),
+    newer: &Receiver<(ChangeNumber, T)>,
+) -> ChangeNumber {
     let mut backoff = MIN_BACKOFF;
-    while let Err(why) = write_atomically(file, &text) {
+    while let Err(why) = write(file, &change) {
         tracing::warn!(file = %file.display(), %why, pause = ?backoff, "cannot write the state file; retrying");
         std::thread::sleep(backoff);
         backoff = (backoff * 2).min(MAX_BACKOFF);
-        if let Ok((newer_number, newer_text)) = newer.try_recv() {
-            (number, text) = (newer_number, newer_text);
+        if let Ok((newer_number, newer_change)) = newer.try_recv() {
+            (number, change) = (newer_number, newer_change);
         } else if newer.is_closed() {
             break;
         }
@@ -141,59 +194,8 @@
     number
 }
 
-impl Drop for FileWriter {
+impl<T> Drop for FileWriter<T> {
     fn drop(&mut self) {
         self.queue.close();
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a slow disk that blocks the thread that serves clients, an older text taken
-    /// for what this process knows, and the loss of the newest text. The disk is a pipe without a
-    /// reader at first.
-    #[test]
-    fn slow_disk_blocks_nobody_and_newest_text_is_written() {
-        let dir = tempfile::tempdir().expect("a directory");
-        let file = dir.path().join("kept.json");
-        let pipe = temporary_path(&file);
-        let made = std::process::Command::new("mkfifo").arg(&pipe).status().expect("mkfifo runs");
-        assert!(made.success());
-        let writer = FileWriter::new(file.clone());
-        assert!(!writer.has_unwritten_text());
-        for text in ["first", "second", "third"] {
-            writer.write(text.to_owned());
-            assert!(writer.has_unwritten_text());
-        }
-        // The disk recovers: the write in progress goes through the pipe, later ones to regular
-        // files.
-        let read = std::fs::read_to_string(&pipe).expect("a text");
-        async_io::block_on(writer.flush());
-        let last = if read == "third" { read } else { std::fs::read_to_string(&file).expect("a file") };
-        assert_eq!(last, "third");
-    }
-
-    /// Guards against changes that the console acknowledged and that are lost when the disk fails
-    /// for a while, or reported as stored meanwhile. The disk is a directory that does not exist at
-    /// first.
-    #[test]
-    fn failed_write_is_retried_until_newest_text_is_written() {
-        let dir = tempfile::tempdir().expect("a directory");
-        let directory = dir.path().join("later");
-        let writer = FileWriter::new(directory.join("kept.json"));
-        writer.write("first".to_owned());
-        std::thread::sleep(MIN_BACKOFF * 2);
-        writer.write("second".to_owned());
-        assert!(writer.has_unwritten_text());
-        std::fs::create_dir(&directory).expect("a folder");
-        async_io::block_on(writer.flush());
-        assert_eq!(std::fs::read_to_string(writer.file()).expect("a file"), "second");
-        assert_eq!(
-            std::fs::read_dir(&directory).expect("a folder").count(),
-            1,
-            "no temporary file is left"
-        );
-    }
-}
--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -21,4 +21,5 @@
 mod program;
 mod reloads;
 mod retries;
+mod shared_state;
 mod stop;
--- a/crates/program/tests/sidecar/program.rs
+++ b/crates/program/tests/sidecar/program.rs
@@ -49,17 +49,27 @@
     /// Starts a process that may open so many descriptors, and waits until it has logged where it
     /// listens.
     pub fn start(config: &str, descriptors: u32) -> Program {
+        Program::spawn(config, descriptors, None)
+    }
+
+    /// Starts a process that keeps its state in this directory.
+    pub fn with_state(config: &str, state: &Path) -> Program {
+        Program::spawn(config, 1024, Some(state))
+    }
+
+    fn spawn(config: &str, descriptors: u32, state: Option<&Path>) -> Program {
         let dir = tempfile::tempdir().expect("a directory");
         let file = dir.path().join("config.json");
         std::fs::write(&file, config.replacen('{', r#"{"console":"127.0.0.1:0","#, 1)).expect("a file");
-        let mut child = start_child(
-            Command::new("sh")
-                .args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\" serve --config \"$1\"")])
-                .arg(env!("CARGO_BIN_EXE_cottonpoint"))
-                .arg(&file)
-                .env_remove("TMPDIR")
-                .stderr(Stdio::piped()),
-        );
+        let mut command = Command::new("sh");
+        command
+            .args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\" serve --config \"$1\"")])
+            .arg(env!("CARGO_BIN_EXE_cottonpoint"))
+            .arg(&file)
+            .env_remove("TMPDIR")
+            .envs(state.map(|state| ("TMPDIR", state)))
+            .stderr(Stdio::piped());
+        let mut child = start_child(&mut command);
         let mut log = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
         let mut listens = log.by_ref().filter_map(|line| {
             line.split_once("listen=").map(|(_, at)| at.parse::<SocketAddr>().expect("an address"))
@@ -95,6 +105,11 @@
         assert!(read_message(&mut self.client(ready)).starts_with("HTTP/1.1 "));
     }
 
+    /// Its process ID.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The number of descriptors that it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
