--- a/crates/program/src/state.rs
+++ b/crates/program/src/state.rs
@@ -44,6 +44,17 @@
     Ok(true)
 }
 
+/// Creates a file with this text, unless there is one: then it stays as it is, whoever wrote it
+/// last. Returns whether it was created.
+pub fn create_atomically(file: &Path, text: &str) -> io::Result<bool> {
+    let written = TemporaryFile::write(file, text)?;
+    match std::fs::hard_link(&written.path, file) {
+        Ok(()) => Ok(true),
+        Err(why) if why.kind() == io::ErrorKind::AlreadyExists => Ok(false),
+        Err(why) => Err(why),
+    }
+}
+
 /// A text that is written and synced beside its file. It is removed when it is dropped.
 struct TemporaryFile {
     path: PathBuf,
--- a/crates/program/src/state/tests.rs
+++ b/crates/program/src/state/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use std::sync::mpsc::channel;
 
-fn write_text(file: &Path, text: &String) -> io::Result<()> {
+fn write_text(file: &Path, text: &&'static str) -> io::Result<()> {
     write_atomically(file, text)
 }
 
@@ -35,6 +35,18 @@
     assert_eq!(std::fs::read_to_string(&file).expect("a file"), "first, after");
 }
 
+/// Guards against replacing what another process has written without a lock since the file was seen
+/// to be missing.
+#[test]
+fn file_that_is_there_is_not_created_anew() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let file = dir.path().join("newest.pid");
+    assert!(create_atomically(&file, "first").expect("created"));
+    assert!(!create_atomically(&file, "second").expect("there is one"));
+    assert_eq!(std::fs::read_to_string(&file).expect("a file"), "first");
+    assert_eq!(std::fs::read_dir(dir.path()).expect("a folder").count(), 1, "no temporary file is left");
+}
+
 /// Guards against a slow disk that blocks the thread that serves clients, an older text taken
 /// for what this process knows, and the loss of the newest text. The disk is a pipe without a
 /// reader at first.
@@ -48,7 +60,7 @@
     let writer = FileWriter::new(file.clone(), write_text);
     assert!(!writer.has_unwritten_change());
     for text in ["first", "second", "third"] {
-        writer.write(text.to_owned());
+        writer.write(text);
         assert!(writer.has_unwritten_change());
     }
     // The disk recovers: the write in progress goes through the pipe, later ones to regular
@@ -67,9 +79,9 @@
     let dir = tempfile::tempdir().expect("a directory");
     let directory = dir.path().join("later");
     let writer = FileWriter::new(directory.join("kept.json"), write_text);
-    writer.write("first".to_owned());
+    writer.write("first");
     std::thread::sleep(MIN_BACKOFF * 2);
-    writer.write("second".to_owned());
+    writer.write("second");
     assert!(writer.has_unwritten_change());
     std::fs::create_dir(&directory).expect("a folder");
     async_io::block_on(writer.flush());
--- a/crates/program/tests/succession.rs
+++ b/crates/program/tests/succession.rs
@@ -3,6 +3,12 @@
 #![allow(missing_docs)]
 
 use cottonpoint::serve::PidFile;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::time::{Duration, Instant};
+
+/// Names the state directory to the process that plays the newer one.
+const CHILD_STATE: &str = "SUCCESSION_TEST_STATE";
 
 fn write_pid(dir: &std::path::Path, pid: u32) {
     std::fs::write(dir.join(PidFile::FILE_NAME), pid.to_string()).expect("a file");
@@ -48,3 +54,55 @@
     pid_file.announce().expect("the write succeeds");
     assert!(pid_file.is_superseded());
 }
+
+/// The newer process of `older_process_that_announces_itself_late_is_replaced`: it has looked at the
+/// file before the older one announces itself.
+#[test]
+#[ignore = "run by another test, as a process of its own"]
+fn newer_process_announces_itself() {
+    let Some(state) = std::env::var_os(CHILD_STATE).map(PathBuf::from) else { return };
+    let pid_file = PidFile::new(&state);
+    std::fs::write(state.join("started"), "").expect("a file");
+    wait_for(&state.join("go"));
+    pid_file.announce().expect("the write succeeds");
+    std::fs::write(state.join("announced"), "").expect("a file");
+    wait_for(&state.join("end"));
+}
+
+/// Fails after a while, so that no process is left behind.
+fn wait_for(file: &Path) {
+    let start = Instant::now();
+    while !file.exists() {
+        assert!(start.elapsed() < Duration::from_secs(10), "no {}", file.display());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn start_newer_process(state: &Path) -> Child {
+    let child = Command::new(std::env::current_exe().expect("a program"))
+        .args(["--ignored", "--exact", "newer_process_announces_itself"])
+        .env(CHILD_STATE, state)
+        .spawn()
+        .expect("it starts");
+    wait_for(&state.join("started"));
+    child
+}
+
+/// Guards against an older process whose announcement a slow disk has delayed until a newer one has
+/// started: the newer one took it for one newer still and never announced itself, so that both would
+/// have served on after the older one's stop event.
+#[test]
+fn older_process_that_announces_itself_late_is_replaced() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let older = PidFile::new(dir.path());
+    let mut newer = start_newer_process(dir.path());
+    older.announce().expect("the write succeeds");
+    assert!(!older.is_superseded());
+    std::fs::write(dir.path().join("go"), "").expect("a file");
+    wait_for(&dir.path().join("announced"));
+    assert!(older.is_superseded() && older.is_another_running());
+    older.announce().expect("the write succeeds");
+    assert!(older.is_superseded(), "it does not take the place of the newer one again");
+    std::fs::write(dir.path().join("end"), "").expect("a file");
+    assert!(newer.wait().expect("it ends").success());
+}
