Soak: series of configurations with other classes, and orders on both consoles of an upgrade

The oracle holds both processes of a slot to an order until a call back (oracle/orders.rs, was check_offline_commands, which held the process of the order and later ones; those it still holds, and sooner where the disk does not fail).

--- a/crates/lab/src/soak/clients.rs
+++ b/crates/lab/src/soak/clients.rs
@@ -2,6 +2,7 @@
 //! connections. Some disconnect early, some stop in the middle of a request and stay connected, and
 //! some only hold idle connections.
 
+use super::classes::{self, ARCHIVE, CLASSES, ClassList, SoakClass};
 use super::endpoint::body_for;
 use super::records::*;
 use crate::live::{Executor, with_timeout};
@@ -38,8 +39,11 @@
     "POST /pay/1 HTTP/1.1\r\nHost: soak\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
 ];
 
-const CLASSES: [(&str, &str, Effect); 3] =
-    [("view", "GET", Effect::Safe), ("order", "POST", Effect::Keyed), ("pay", "POST", Effect::Unsafe)];
+/// Clients use a new class this long after the configuration that names it (the deployment's
+/// requirements).
+const CLASSES_USED_AFTER: Duration = Duration::from_millis(1200);
+/// Number of requests of a long class that come right before a configuration.
+const LONG_REQUESTS: usize = 8;
 
 struct Connection {
     stream: Async<TcpStream>,
@@ -53,6 +57,11 @@
     member: usize,
     run_start: Instant,
     client_timeouts: [Duration; 3],
+    /// The classes of the configuration in force that clients use, as positions in
+    /// [`CLASSES`].
+    classes: RefCell<Vec<usize>>,
+    /// Number of configurations that the process has got.
+    configurations: Cell<u64>,
     idle_connections: RefCell<Vec<Connection>>,
     open_requests: Cell<usize>,
     next_number: Cell<u64>,
@@ -77,12 +86,15 @@
         run_start: Instant,
         seed: u64,
         client_timeouts: [Duration; 3],
+        classes: ClassList,
     ) -> Rc<Clients> {
         Rc::new(Clients {
             address,
             member,
             run_start,
             client_timeouts,
+            classes: RefCell::new(classes.positions().to_vec()),
+            configurations: Cell::new(0),
             idle_connections: RefCell::default(),
             open_requests: Cell::new(0),
             next_number: Cell::new(0),
@@ -128,7 +140,9 @@
                 let this = self.clone();
                 executor
                     .spawn(async move {
-                        this.run_request().await;
+                        if let Some(class) = this.draw_class() {
+                            this.run_request(class).await;
+                        }
                         this.open_requests.set(this.open_requests.get() - 1);
                     })
                     .detach();
@@ -136,8 +150,47 @@
         }
     }
 
-    async fn run_request(&self) {
-        let class = self.random.borrow_mut().usize(0..CLASSES.len());
+    /// Draws one of the classes in use; there may be none for a while after a configuration.
+    fn draw_class(&self) -> Option<usize> {
+        self.random.borrow_mut().choice(self.classes.borrow().iter().copied())
+    }
+
+    /// Sends requests of a long class, if the process knows it.
+    pub fn send_long_requests(self: &Rc<Self>, executor: &Executor) {
+        if !self.classes.borrow().contains(&ARCHIVE) || self.stopped.get() {
+            return;
+        }
+        for _ in 0..LONG_REQUESTS {
+            self.open_requests.set(self.open_requests.get() + 1);
+            let this = self.clone();
+            executor
+                .spawn(async move {
+                    this.run_request(ARCHIVE).await;
+                    this.open_requests.set(this.open_requests.get() - 1);
+                })
+                .detach();
+        }
+    }
+
+    /// Notes that the process has got a configuration with these classes. Those that it had before
+    /// and has still are used on; the others after a while, unless there is another configuration by
+    /// then.
+    pub fn note_classes(self: &Rc<Self>, classes: ClassList, executor: &Executor) {
+        let configuration = self.configurations.get() + 1;
+        self.configurations.set(configuration);
+        self.classes.borrow_mut().retain(|class| classes.positions().contains(class));
+        let this = self.clone();
+        executor
+            .spawn(async move {
+                Timer::after(CLASSES_USED_AFTER).await;
+                if this.configurations.get() == configuration {
+                    *this.classes.borrow_mut() = classes.positions().to_vec();
+                }
+            })
+            .detach();
+    }
+
+    async fn run_request(&self, class: usize) {
         let reused = self.idle_connections.borrow_mut().pop();
         let on_reused = reused.is_some();
         let connection = match reused {
@@ -180,8 +233,10 @@
     ) -> Request {
         let number = self.next_number.replace(self.next_number.get() + 1);
         let id = format!("m{}-{number}", self.member);
-        let (name, method, effect) = CLASSES[class];
-        let (client_timeout, disconnect_after) = self.draw_times(self.client_timeouts[class]);
+        let SoakClass { name, effect, .. } = CLASSES[class];
+        let method = if effect == Effect::Safe { "GET" } else { "POST" };
+        let (client_timeout, disconnect_after) =
+            self.draw_times(classes::client_timeout(class, self.client_timeouts));
         let path = format!("/{name}/{number}");
         let text = request_text(method, &path, name, &id, client_timeout, effect);
         let mut request = Request {
--- a/crates/lab/src/soak/member.rs
+++ b/crates/lab/src/soak/member.rs
@@ -1,9 +1,11 @@
 //! One process of the program in a soak: its files, start, signals, console and metrics.
 
 use super::addresses;
+use super::classes::{CLASSES, ClassList, client_timeout};
 use super::discovery::ADDRESSES_PER_PROCESS;
 use super::oracle::{COLD_FROM, COLD_MULTIPLE, COLD_WINDOW, DRAIN_GRACE, IDEMPOTENCY_WINDOW, WARM_AFTER};
 use super::plan::{Plan, ShimFaults};
+use super::records::Effect;
 use crate::live::with_timeout;
 use crate::rig::process::Process;
 use async_io::Async;
@@ -37,6 +39,7 @@
     discovery: [SocketAddr; ADDRESSES_PER_PROCESS],
     environment: Vec<(OsString, OsString)>,
     program: PathBuf,
+    classes: ClassList,
 }
 
 /// A process that serves.
@@ -48,6 +51,8 @@
     setup: ProcessSetup,
     /// Index of the discovery address in its current configuration.
     discovery_index: usize,
+    /// The classes of its current configuration.
+    classes: ClassList,
     /// The process.
     pub process: Process,
 }
@@ -79,7 +84,16 @@
         let environment = plan.shims[slot].map(|shim| environment(&shim)).transpose()?.unwrap_or_default();
         let arguments = command.chain(files).collect();
         let program = program.to_owned();
-        Ok(ProcessSetup { state, arguments, config_path, configuration, discovery, environment, program })
+        Ok(ProcessSetup {
+            state,
+            arguments,
+            config_path,
+            configuration,
+            discovery,
+            environment,
+            program,
+            classes: plan.first_classes,
+        })
     }
 
     /// Starts the process and blocks until it serves.
@@ -90,9 +104,10 @@
             let address = line["listen"].as_str().and_then(|text| text.parse().ok());
             address.ok_or_else(|| io::Error::other(format!("no listen address in the log line {line}")))
         };
+        let classes = self.classes;
         let (metrics, console, address) =
             (listen("serves metrics")?, listen("serves the console")?, listen("serves")?);
-        Ok(RunningProcess { address, console, metrics, setup: self, discovery_index: 0, process })
+        Ok(RunningProcess { address, console, metrics, setup: self, discovery_index: 0, classes, process })
     }
 }
 
@@ -132,23 +147,31 @@
     u64::try_from(time.as_nanos()).unwrap_or(u64::MAX)
 }
 
-fn settings(plan: &Plan, slot: usize) -> Value {
-    let class = |name: &str, semantics: &str, worth: f64, client_timeout: Duration| {
+/// The classes of a configuration.
+fn lanes(classes: ClassList, client_timeouts: [Duration; 3]) -> Value {
+    let lane = |position: &usize| {
+        let class = CLASSES[*position];
+        let semantics = match class.effect {
+            Effect::Safe => "read_like",
+            Effect::Keyed => "idempotency_key",
+            Effect::Unsafe => "non_idempotent",
+        };
+        let timeout = client_timeout(*position, client_timeouts);
         json!({
-            "name": name, "semantics": semantics, "group": "all", "window_ns": nanos(IDEMPOTENCY_WINDOW),
-            "aim_ns": nanos(client_timeout / 2), "give_up_ns": nanos(client_timeout), "worth": worth,
+            "name": class.name, "semantics": semantics, "group": "all",
+            "window_ns": nanos(IDEMPOTENCY_WINDOW), "aim_ns": nanos(timeout / 2),
+            "give_up_ns": nanos(timeout), "worth": f64::from(class.worth),
         })
     };
-    let [safe, keyed, without_key] = plan.client_timeouts;
+    classes.positions().iter().map(lane).collect()
+}
+
+fn settings(plan: &Plan, slot: usize) -> Value {
     json!({
         "me": slot, "siblings": plan.members, "my_zone": 0, "azs": ["here"], "shapes": ["plain"],
         "discovery": if plan.pushed { "pushed" } else { "on_request" },
         "telemetry": { "how": "piggyback", "fields": ["throughput", "utilization"] },
-        "lanes": [
-            class("view", "read_like", 1.0, safe),
-            class("order", "idempotency_key", 3.0, keyed),
-            class("pay", "non_idempotent", 5.0, without_key),
-        ],
+        "lanes": lanes(plan.first_classes, plan.client_timeouts),
         "orgs": [{ "name": "office", "quota_per_s": 10_000.0 }],
         "limits": {
             "max_attempts": 4, "may_duplicate": false, "cancelling": true, "probes": false,
@@ -168,18 +191,38 @@
         self.discovery_index = (self.discovery_index + 1) % ADDRESSES_PER_PROCESS;
         self.setup.configuration["discovery"] =
             json!(self.setup.discovery[self.discovery_index].to_string());
+        self.reload_configuration()
+    }
+
+    /// Gives the process a configuration that names these classes.
+    pub fn reload_classes(&mut self, classes: ClassList, client_timeouts: [Duration; 3]) -> io::Result<()> {
+        self.classes = classes;
+        self.setup.configuration["settings"]["lanes"] = lanes(classes, client_timeouts);
+        self.reload_configuration()
+    }
+
+    fn reload_configuration(&self) -> io::Result<()> {
         let temporary = self.setup.config_path.with_extension("new");
         fs::write(&temporary, self.setup.configuration.to_string())?;
         fs::rename(&temporary, &self.setup.config_path)?;
         self.process.signal(Signal::HUP)
     }
 
-    /// Takes an endpoint offline by a console command; returns whether the process confirmed it.
-    pub async fn take_offline(console: SocketAddr, endpoint: &str) -> io::Result<bool> {
-        let answer = query(console, &format!("OFFLINE {endpoint}\n")).await?;
+    /// Takes an endpoint offline or puts it back online by a console command; returns whether the
+    /// process confirmed it.
+    pub async fn order(console: SocketAddr, endpoint: &str, offline: bool) -> io::Result<bool> {
+        let command = if offline { "OFFLINE" } else { "ONLINE" };
+        let answer = query(console, &format!("{command} {endpoint}\n")).await?;
         Ok(answer.starts_with("+OK"))
     }
 
+    /// The longest client timeout of its current configuration.
+    pub fn longest_timeout(&self, client_timeouts: [Duration; 3]) -> Duration {
+        let timeouts =
+            self.classes.positions().iter().map(|position| client_timeout(*position, client_timeouts));
+        timeouts.max().unwrap_or_default()
+    }
+
     /// The console's address.
     pub fn console(&self) -> SocketAddr {
         self.console
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -7,6 +7,7 @@
 //! invariants in the records, without I/O, and `report` formats the results.
 
 pub mod addresses;
+pub mod classes;
 pub mod clients;
 pub mod discovery;
 pub mod endpoint;
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -11,6 +11,7 @@
 
 mod invariant;
 mod notification;
+mod orders;
 #[cfg(test)]
 mod tests;
 
@@ -39,9 +40,6 @@
 /// A request sent up to this long after SIGTERM may be lost if SIGKILL finds it unanswered (the
 /// protocol specification).
 const EXCUSED_AFTER_SIGTERM: Duration = ms(700);
-/// A command that takes an endpoint offline is stored on disk within this time once the disk
-/// accepts writes.
-const OFFLINE_PERSISTED_WITHIN: Duration = ms(1500);
 /// A keyed request may be repeated within this time (the settings of a soak).
 pub const IDEMPOTENCY_WINDOW: Duration = ms(10_000);
 /// The window in which the requests of a cold endpoint are counted. This and the following three
@@ -70,7 +68,7 @@
         oracle.check_slow_starts(),
         oracle.check_bad_clients(),
         oracle.check_members(),
-        oracle.check_offline_commands(),
+        oracle.check_orders(),
     ]
     .concat();
     violations.sort_by_key(|violation| violation.at);
@@ -345,39 +343,6 @@
         }
         violations
     }
-
-    fn check_offline_commands(&self) -> Vec<Violation> {
-        let mut violations = Vec::new();
-        for command in &self.records.offline_commands {
-            let offline_at = &self.records.members[command.member];
-            let name = &offline_at.name;
-            let slot = name.split('.').next().unwrap_or_default();
-            let limit = command.confirmed + DRAIN_GRACE + SOCKET_SLACK + self.observation_slack;
-            // A later process cannot know what the disk had not accepted before the kill.
-            let persisted_by =
-                command.confirmed.max(offline_at.file_writes_fail_until) + OFFLINE_PERSISTED_WITHIN;
-            let persisted = offline_at.killed.is_none_or(|killed| killed > persisted_by);
-            let same_slot = |attempt: &&Attempt| {
-                let index = self.records.member_of(&attempt.id);
-                let own = index == Some(command.member);
-                let next = index.and_then(|index| self.records.members.get(index));
-                own || persisted && next.is_some_and(|next| next.name.split('.').next() == Some(slot))
-            };
-            let violating = self.records.attempts.iter();
-            let violating =
-                violating.filter(|attempt| attempt.endpoint == command.endpoint && attempt.started > limit);
-            if let Some(attempt) = { violating }.find(same_slot) {
-                let endpoint = &self.records.endpoints[command.endpoint];
-                let description = format!("{} went to {endpoint}, taken offline at {name}", attempt.id);
-                violations.push(Violation {
-                    invariant: Invariant::StaysOut,
-                    at: attempt.started,
-                    description,
-                });
-            }
-        }
-        violations
-    }
 }
 
 /// The number of requests that a cold endpoint can take in one window at the given age (the
--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -56,6 +56,12 @@
     Change { version, at, endpoint: 0, lifecycle, cold: false }
 }
 
+/// A command for the first endpoint that is confirmed 10 ms after it was sent.
+fn order(member: usize, offline: bool, confirmed: u64) -> EndpointOrder {
+    let sent = ms(confirmed - 10);
+    EndpointOrder { member, endpoint: 0, offline, sent, confirmed: Some(ms(confirmed)) }
+}
+
 fn violated_invariants(records: &Records) -> Vec<Invariant> {
     let mut invariants: Vec<_> = check(records).iter().map(|violation| violation.invariant).collect();
     invariants.dedup();
@@ -130,7 +136,7 @@
             records.members[0].guard_violations = Some(BTreeMap::from([(rule, 1)]));
         }),
         assert_violates(Invariant::StaysOut, |records| {
-            records.offline_commands.push(OfflineCommand { member: 0, endpoint: 0, confirmed: ms(8000) });
+            records.orders.push(order(0, true, 8000));
         }),
     ];
     assert_eq!(violated, Invariant::ALL);
@@ -222,3 +228,35 @@
     assert!(lost(Some(9000), 10_900), "sent more than 0.7 s after SIGTERM: it is owed an answer");
     assert!(lost(Some(9500), 12_000), "its client timeout ended before the kill");
 }
+
+/// Guards against an oracle that misses an order which the other process of an upgrade does not keep
+/// (review case 2), or that faults a use after a call back, whichever console it came from.
+#[test]
+fn orders_hold_at_both_processes_of_a_slot_until_a_call_back() {
+    let stays_out = |other: &str, orders: &[EndpointOrder]| {
+        let mut records = good_records();
+        records.members[0].name = "p0.0".to_owned();
+        records.members.push(member(other));
+        records.orders = orders.to_vec();
+        !violated_invariants(&records).contains(&Invariant::StaysOut)
+    };
+    assert!(!stays_out("p0.1", &[order(1, true, 8000)]), "the attempt at 10 s is of the other process");
+    assert!(stays_out("p1.0", &[order(1, true, 8000)]), "another slot");
+    assert!(stays_out("p0.1", &[order(1, true, 9400)]), "within the grace");
+    assert!(stays_out("p0.1", &[order(1, true, 8000), order(0, false, 9000)]), "called back since");
+    assert!(!stays_out("p0.1", &[order(0, false, 7000), order(1, true, 8000)]), "called back before");
+    assert!(stays_out("p0.1", &[order(0, false, 8005), order(1, true, 8000)]), "at the same time");
+    let in_trouble = |killed: u64| {
+        let mut records = good_records();
+        records.members[0].name = "p0.1".to_owned();
+        let failing =
+            Member { file_writes_fail_until: ms(8000), killed: Some(ms(killed)), ..member("p0.0") };
+        records.members.push(failing);
+        records.orders = vec![order(1, true, 7500)];
+        violated_invariants(&records).contains(&Invariant::StaysOut)
+    };
+    assert!(
+        !in_trouble(9400) && !in_trouble(9501),
+        "stored up to 1.5 s after the disk recovered, and the grace"
+    );
+}
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -5,6 +5,7 @@
 #[cfg(test)]
 mod tests;
 
+use super::classes::ClassList;
 use super::records::Timestamp;
 use std::fmt;
 use std::time::Duration;
@@ -98,6 +99,15 @@
     StopsReading,
 }
 
+/// One of the two processes of an upgrade.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// The one that ran before.
+    Older,
+    /// The one that takes its place.
+    Newer,
+}
+
 /// One event of a run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Event {
@@ -135,6 +145,26 @@
     Restart(usize),
     /// A process gets a new configuration that names discovery's other address.
     Reload(usize),
+    /// A process gets a new configuration that names these classes, after some requests whose work is
+    /// long.
+    Classes(usize, ClassList),
+    /// A second process is started in a slot, with the same state directory.
+    Upgrade(usize),
+    /// An operator takes an endpoint offline or puts it back online, on the console of one of the
+    /// processes of an upgrade.
+    Order {
+        /// The slot of the upgrade.
+        slot: usize,
+        /// The process.
+        side: Side,
+        /// The endpoint.
+        endpoint: usize,
+        /// Whether it is taken offline.
+        offline: bool,
+    },
+    /// The older process of an upgrade receives SIGTERM, and is killed at the earliest permitted
+    /// time.
+    EndUpgrade(usize),
     /// A process receives SIGTERM, is killed at the earliest permitted time, and is started anew.
     Terminate(usize),
     /// A process is killed and started anew.
@@ -199,6 +229,8 @@
     pub rate: f64,
     /// The longest client timeouts of the three classes: safe, keyed, unsafe.
     pub client_timeouts: [Duration; 3],
+    /// The classes of the first configuration of each process.
+    pub first_classes: ClassList,
     /// Whether an agent pushes the list, rather than the processes asking for it.
     pub pushed: bool,
     /// For each slot of the fleet, whether its processes are started without a list.
--- a/crates/lab/src/soak/plan/draw.rs
+++ b/crates/lab/src/soak/plan/draw.rs
@@ -1,8 +1,10 @@
 //! Draws a plan from its seed.
 
 mod lists;
+mod series;
 
 use super::{Behaviour, DiscoveryCondition, Event, Plan, ScheduledEvent, ShimFaults, WatchFault};
+use crate::soak::classes::ClassList;
 use crate::soak::records::Timestamp;
 use std::time::Duration;
 
@@ -40,6 +42,7 @@
             padding: if random.u32(0..5) == 0 { random.usize(500..=3000) } else { random.usize(0..20) },
             rate: (240.0 / members as f64).clamp(6.0, 20.0),
             client_timeouts,
+            first_classes: ClassList::FIRST,
             pushed: false,
             without_known_list: vec![false; members],
             shims: Vec::new(),
@@ -54,6 +57,8 @@
         builder.draw_stops(quiet_until);
         builder.draw_clients(quiet_until);
         builder.draw_lists(quiet_until);
+        builder.draw_class_series();
+        builder.draw_upgrades();
         let mut plan = builder.plan;
         let last = plan.length;
         plan.events.retain(|scheduled| scheduled.at < last);
--- a/crates/lab/src/soak/plan/tests.rs
+++ b/crates/lab/src/soak/plan/tests.rs
@@ -66,3 +66,36 @@
         );
     }
 }
+
+/// Guards against plans without what the reviews found: series of configurations with other classes
+/// in another order and number, and orders on both consoles of an upgrade.
+#[test]
+fn plans_have_series_of_classes_and_orders_on_both_consoles() {
+    let plans = plans();
+    let count = |wanted: &dyn Fn(&Event) -> bool| {
+        let events = plans.iter().map(|plan| plan.events.iter().filter(|at| wanted(&at.event)).count());
+        events.filter(|count| *count > 0).count()
+    };
+    let series = plans.iter().filter(|plan| {
+        let slots: Vec<usize> = { plan.events.iter() }
+            .filter_map(|at| match at.event {
+                Event::Classes(slot, _) => Some(slot),
+                _ => None,
+            })
+            .collect();
+        slots.iter().any(|slot| slots.iter().filter(|other| *other == slot).count() > 4)
+    });
+    assert!(series.count() >= 50, "more than four configurations in a row");
+    for size in 2..=8 {
+        assert!(
+            count(&|event| matches!(event, Event::Classes(_, list) if list.positions().len() == size)) > 0
+        );
+    }
+    for wanted in [Side::Older, Side::Newer] {
+        for wanted_offline in [false, true] {
+            let is_wanted = |event: &Event| matches!(event, Event::Order { side, offline, .. } if *side == wanted && *offline == wanted_offline);
+            assert!(count(&is_wanted) >= 30, "{wanted:?}, offline: {wanted_offline}");
+        }
+    }
+    assert!(count(&|event| matches!(event, Event::EndUpgrade(_))) >= 50);
+}
--- a/crates/lab/src/soak/play.rs
+++ b/crates/lab/src/soak/play.rs
@@ -3,14 +3,16 @@
 
 mod lists;
 mod stops;
+mod upgrades;
 
 use super::Arguments;
 use super::addresses;
+use super::classes::ClassList;
 use super::clients::Clients;
 use super::discovery::Discovery;
 use super::endpoint::Endpoint;
 use super::member::{ProcessSetup, RunningProcess};
-use super::plan::{Event, Plan};
+use super::plan::{Event, Plan, Side};
 use super::records::*;
 use crate::live::Executor;
 use async_executor::LocalExecutor;
@@ -36,6 +38,15 @@
     member: Cell<usize>,
     incarnation: Cell<u32>,
     clients: RefCell<Option<Rc<Clients>>>,
+    /// The older process of an upgrade, until it is told to end.
+    older: RefCell<Option<OlderProcess>>,
+}
+
+/// A process that another one has taken the place of.
+struct OlderProcess {
+    member: usize,
+    running: RunningProcess,
+    clients: Option<Rc<Clients>>,
 }
 
 struct SoakRun {
@@ -54,7 +65,7 @@
     members: RefCell<Vec<Member>>,
     all_clients: RefCell<Vec<Rc<Clients>>>,
     changes: RefCell<Vec<Change>>,
-    offline_commands: RefCell<Vec<OfflineCommand>>,
+    orders: RefCell<Vec<EndpointOrder>>,
     timer_lateness: Cell<Duration>,
     finished: Cell<bool>,
 }
@@ -77,6 +88,7 @@
         member: Cell::new(0),
         incarnation: Cell::new(0),
         clients: RefCell::default(),
+        older: RefCell::default(),
     };
     let soak_run = Rc::new(SoakRun {
         run_start,
@@ -93,7 +105,7 @@
         members: RefCell::default(),
         all_clients: RefCell::default(),
         changes: RefCell::default(),
-        offline_commands: RefCell::default(),
+        orders: RefCell::default(),
         timer_lateness: Cell::default(),
         finished: Cell::new(false),
         plan: plan.clone(),
@@ -134,7 +146,7 @@
             reachable_periods: self.discovery.reachable_periods.take(),
             silent_watches: self.discovery.silent_watches.take(),
             pushed: self.plan.pushed,
-            offline_commands: self.offline_commands.take(),
+            orders: self.orders.take(),
             polls: self.discovery.polls.get(),
             timer_lateness: self.timer_lateness.get(),
             ..Records::default()
@@ -216,8 +228,14 @@
             let member = slot.member.get();
             self.members.borrow_mut()[member].started = started;
             let plan = &self.plan;
-            let clients =
-                Clients::new(running.address, member, self.run_start, plan.seed, plan.client_timeouts);
+            let clients = Clients::new(
+                running.address,
+                member,
+                self.run_start,
+                plan.seed,
+                plan.client_timeouts,
+                plan.first_classes,
+            );
             *slot.running.borrow_mut() = Some(running);
             *slot.clients.borrow_mut() = Some(clients.clone());
             self.all_clients.borrow_mut().push(clients.clone());
@@ -250,6 +268,21 @@
             Event::Reload(slot) => {
                 self.slots[slot].running.borrow_mut().as_mut().map_or(Ok(()), RunningProcess::reload)?;
             }
+            Event::Classes(slot, classes) => self.reload_classes(slot, classes)?,
+            Event::Upgrade(slot) => {
+                let this = self.clone();
+                self.executor.spawn(async move { drop(this.upgrade(slot).await) }).detach();
+            }
+            Event::Order { slot, side, endpoint, offline } => {
+                let this = self.clone();
+                self.executor
+                    .spawn(async move { this.give_order(slot, side, endpoint, offline).await })
+                    .detach();
+            }
+            Event::EndUpgrade(slot) => {
+                let this = self.clone();
+                self.executor.spawn(async move { drop(this.end_upgrade(slot).await) }).detach();
+            }
             Event::Terminate(slot) => {
                 let this = self.clone();
                 self.executor.spawn(async move { drop(this.terminate(slot, true).await) }).detach();
@@ -275,7 +308,9 @@
             }),
             Event::TakeOffline(slot, endpoint) => {
                 let this = self.clone();
-                self.executor.spawn(async move { this.take_offline(slot, endpoint).await }).detach();
+                self.executor
+                    .spawn(async move { this.give_order(slot, Side::Newer, endpoint, true).await })
+                    .detach();
             }
         }
         Ok(())
@@ -288,18 +323,17 @@
         }
     }
 
-    async fn take_offline(&self, slot: usize, endpoint: usize) {
+    /// Gives a process a configuration with these classes, right after some requests whose work is
+    /// long.
+    fn reload_classes(&self, slot: usize, classes: ClassList) -> io::Result<()> {
         let slot = &self.slots[slot];
-        let (member, console) =
-            (slot.member.get(), slot.running.borrow().as_ref().map(RunningProcess::console));
-        let Some(console) = console else { return };
-        if RunningProcess::take_offline(console, &name_of(endpoint)).await.unwrap_or(false) {
-            self.offline_commands.borrow_mut().push(OfflineCommand {
-                member,
-                endpoint,
-                confirmed: self.run_start.elapsed(),
-            });
+        if let Some(clients) = slot.clients.borrow().as_ref() {
+            clients.send_long_requests(&self.executor);
+            clients.note_classes(classes, &self.executor);
         }
+        let mut running = slot.running.borrow_mut();
+        let timeouts = self.plan.client_timeouts;
+        running.as_mut().map_or(Ok(()), |running| running.reload_classes(classes, timeouts))
     }
 }
 
--- a/crates/lab/src/soak/play/stops.rs
+++ b/crates/lab/src/soak/play/stops.rs
@@ -33,20 +33,30 @@
         let Some(running) = self.slots[slot].running.take() else { return Ok(()) };
         let member = self.slots[slot].member.get();
         let clients = self.slots[slot].clients.take();
-        self.record_counts(member, &running).await;
-        clients.iter().for_each(|clients| clients.note_sigterm());
-        self.members.borrow_mut()[member].terminated = Some(self.run_start.elapsed());
-        running.process.signal(Signal::TERM)?;
-        let longest = self.plan.client_timeouts.into_iter().max().unwrap_or_default().min(MAX_DEADLINE);
         let restarting = restart.then(|| self.clone().restart_in(slot));
-        Timer::after(longest + KILL_SLACK).await;
-        self.kill_and_collect_log(member, running, clients)?;
+        self.terminate_process(member, running, clients).await?;
         if let Some(restarting) = restarting {
             restarting.await?;
         }
         Ok(())
     }
 
+    /// The same for a process that is in its slot no more.
+    pub(super) async fn terminate_process(
+        &self,
+        member: usize,
+        running: RunningProcess,
+        clients: Option<Rc<Clients>>,
+    ) -> io::Result<()> {
+        self.record_counts(member, &running).await;
+        clients.iter().for_each(|clients| clients.note_sigterm());
+        self.members.borrow_mut()[member].terminated = Some(self.run_start.elapsed());
+        running.process.signal(Signal::TERM)?;
+        let longest = running.longest_timeout(self.plan.client_timeouts).min(MAX_DEADLINE);
+        Timer::after(longest + KILL_SLACK).await;
+        self.kill_and_collect_log(member, running, clients)
+    }
+
     pub(super) async fn kill_and_restart(self: Rc<Self>, slot: usize) -> io::Result<()> {
         let Some(running) = self.slots[slot].running.take() else { return Ok(()) };
         let (member, clients) = (self.slots[slot].member.get(), self.slots[slot].clients.take());
@@ -102,7 +112,10 @@
 
     pub(super) async fn terminate_all(self: &Rc<Self>) -> io::Result<()> {
         let terminations: Vec<_> = (0..self.plan.members)
-            .map(|slot| self.executor.spawn(self.clone().terminate(slot, false)))
+            .flat_map(|slot| {
+                let newest = self.executor.spawn(self.clone().terminate(slot, false));
+                [newest, self.executor.spawn(self.clone().end_upgrade(slot))]
+            })
             .collect();
         for termination in terminations {
             termination.await?;
--- a/crates/lab/src/soak/records.rs
+++ b/crates/lab/src/soak/records.rs
@@ -164,15 +164,19 @@
     pub ended: Option<Timestamp>,
 }
 
-/// An endpoint taken offline by a console command at a process.
+/// A console command at a process that takes an endpoint offline or puts it back online.
 #[derive(Clone, Copy, Debug)]
-pub struct OfflineCommand {
+pub struct EndpointOrder {
     /// Index of the process.
     pub member: usize,
     /// The endpoint's index.
     pub endpoint: usize,
-    /// When the process confirmed the command.
-    pub confirmed: Timestamp,
+    /// Whether the endpoint is taken offline.
+    pub offline: bool,
+    /// When the command was sent.
+    pub sent: Timestamp,
+    /// When the process confirmed it; `None` if it did not.
+    pub confirmed: Option<Timestamp>,
 }
 
 /// Counts of discovery polls by outcome.
@@ -209,8 +213,8 @@
     pub silent_watches: Vec<SilentWatch>,
     /// Bad clients.
     pub bad_clients: Vec<BadClient>,
-    /// Endpoints taken offline by a console command.
-    pub offline_commands: Vec<OfflineCommand>,
+    /// Console commands on endpoints.
+    pub orders: Vec<EndpointOrder>,
     /// Counts of polls.
     pub polls: Polls,
     /// Maximum lateness of the stand-ins' own timers.
--- a/crates/lab/src/soak/report.rs
+++ b/crates/lab/src/soak/report.rs
@@ -19,10 +19,11 @@
     let polls = records.polls;
     let all = polls.answered.count + polls.rejected + polls.failed;
     let goodput = if all == 0 { 1.0 } else { polls.answered.count as f64 / all as f64 };
+    let orders = records.orders.iter().filter(|order| order.confirmed.is_some()).count();
     let list_expiries: u64 = records.members.iter().map(|member| member.list_expiries).sum();
     format!(
         "seed {}: {} processes of {} members, {} requests, {} served, {} refused, {} failed, {} left; {} attempts; polls {} \
-         answered, {} rejected, {} in outages (goodput {goodput:.2}); lists expired {list_expiries} times; \
+         answered, {} rejected, {} in outages (goodput {goodput:.2}); lists expired {list_expiries} times; {orders} orders; \
          stand-ins late by {:?} at most; {} breaches\n",
         plan.seed,
         records.members.len(),
