--- a/crates/program/src/orders.rs
+++ b/crates/program/src/orders.rs
@@ -7,6 +7,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
+#[cfg(test)]
+mod tests;
+
 /// Maximum number of orders remembered. Beyond it the oldest are forgotten; they matter only to an
 /// order that was given before them and is stored after them.
 const MAX_ORDERS: usize = 4096;
