Shim: registers of a trapped system call by architecture, so that it builds on arm64

The registers now stand in a module for each architecture. The lines of x86-64 are the same as before; arm64 passes the number in x8, the arguments in x0 to x2 and the result in x0. What the handler decides is unchanged, and works on the arguments in place of the registers.

Measured: on arm64 the workspace builds, clippy is clean for the shim, and its tests pass (they load the library and let connect fail). x86-64 was not compiled here: there is no target for it on this machine.

--- a/crates/shim/src/lib.rs
+++ b/crates/shim/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod faults;
 mod next;
+mod registers;
 mod traps;
 
 use faults::{Faults, faults};
--- a/crates/shim/src/traps.rs
+++ b/crates/shim/src/traps.rs
@@ -3,6 +3,7 @@
 //! makes them fail temporarily or executes them itself.
 
 use crate::faults::{Faults, faults};
+use crate::registers;
 use libc::{c_int, c_long, c_void, siginfo_t, sock_filter, sock_fprog, sockaddr_in, ucontext_t};
 use std::ffi::CStr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -76,10 +77,10 @@
 }
 
 /// The error with which this call fails now, if it does.
-fn injected_error(faults: &Faults, number: c_long, registers: &[i64]) -> Option<c_int> {
+fn injected_error(faults: &Faults, number: c_long, arguments: [i64; 3]) -> Option<c_int> {
     if number == libc::SYS_connect
         && let Some(file) = &faults.connect_error_file
-        && connect_port(registers) == Some(faults.connect_port)
+        && connect_port(arguments) == Some(faults.connect_port)
         && let Some(code) = error_from_file(file)
     {
         return Some(code);
@@ -95,8 +96,7 @@
 }
 
 /// The destination port of an intercepted connect.
-fn connect_port(registers: &[i64]) -> Option<u64> {
-    let [address, length] = [libc::REG_RSI, libc::REG_RDX].map(|register| registers[register as usize]);
+fn connect_port([_socket, address, length]: [i64; 3]) -> Option<u64> {
     if usize::try_from(length).ok()? < size_of::<sockaddr_in>() {
         return None;
     }
@@ -132,19 +132,18 @@
 
 extern "C" fn handle_trapped_call(_signal: c_int, _info: *mut siginfo_t, context: *mut c_void) {
     // SAFETY: the kernel passes the context of the intercepted call to a handler of this kind.
-    let registers = unsafe { &mut (*context.cast::<ucontext_t>()).uc_mcontext.gregs };
-    let number = registers[libc::REG_RAX as usize];
-    registers[libc::REG_RAX as usize] =
-        match faults().and_then(|faults| injected_error(faults, number, registers)) {
-            Some(code) => -i64::from(code),
-            None => execute_call(number, registers),
-        };
+    let registers = registers::saved(unsafe { &mut *context.cast::<ucontext_t>() });
+    let number = registers::number(registers);
+    let arguments = registers::arguments(registers);
+    let result = match faults().and_then(|faults| injected_error(faults, number, arguments)) {
+        Some(code) => -i64::from(code),
+        None => execute_call(number, arguments),
+    };
+    registers::set_result(registers, result);
 }
 
 /// Executes the intercepted call and returns the kernel's result.
-fn execute_call(number: c_long, registers: &[i64]) -> i64 {
-    let [first, second, third] =
-        [libc::REG_RDI, libc::REG_RSI, libc::REG_RDX].map(|register| registers[register as usize]);
+fn execute_call(number: c_long, [first, second, third]: [i64; 3]) -> i64 {
     // SAFETY: the caller's own arguments; errno belongs to this thread and is restored.
     unsafe {
         let errno = libc::__errno_location();
