Tests of long and slow answers, failing: cut off half a second after their head

These tests play such answers in the three framings, for classes that may and must not be repeated, past the deadline, to slow and leaving readers, and broken in the middle.

--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -18,6 +18,7 @@
 mod lifecycle;
 mod list;
 mod local_faults;
+mod long_answers;
 mod program;
 mod reloads;
 mod retries;
