Pass long and slow answers on as they arrive, at the pace of both sides

Cause: an answer was read whole before its first byte went to the client, bounded by 64 KiB and by RESPONSE_COMPLETION_TIMEOUT, a constant time.

Change: an answer is held while another attempt could still be made, up to 64 KiB or half a second (core/src/answer_hold.rs, without I/O). Longer or later ones are passed on piece by piece, with one small buffer, read only when the client has taken what came before (net/src/servers/receive.rs, clients/answer_stream.rs). No further attempt follows the first byte. From the head on, the request's own deadline bounds a held answer, and a stall of 10 s, the client's leaving, the shutdown's last answer or 32 MiB end one that is passed on. What breaks ends so that the client can tell: a length not reached, no last chunk, or a reset. Writing to a client is bounded by a stall of 10 s in place of 5 s for all of it. Each cut is logged with its reason and counted in cottonpoint_answers_cut_total.

--- a/crates/codec/src/http.rs
+++ b/crates/codec/src/http.rs
@@ -1,5 +1,6 @@
 //! The part of HTTP/1.1 that clients, endpoints and discovery share: heads, framing, bodies.
 
+use crate::body::read_body;
 use crate::buffer::Buffer;
 use futures_lite::AsyncRead;
 use std::fmt;
@@ -213,107 +214,27 @@
     Ok(Head { line, headers })
 }
 
-/// Reads a body of at most `limit` bytes.
-pub async fn read_body(
-    buffer: &mut Buffer,
-    stream: &mut (impl AsyncRead + Unpin),
-    framing: Framing,
-    limit: usize,
-) -> Result<Vec<u8>> {
-    match framing {
-        Framing::Length(n) if n > limit => Err(Fault::BodyTooLong),
-        Framing::Length(n) => {
-            fill_to(buffer, stream, n).await?;
-            let body = buffer.filled()[..n].to_vec();
-            buffer.consume(n);
-            Ok(body)
-        }
-        Framing::ToEnd => {
-            while buffer.filled().len() <= limit {
-                if buffer.fill(stream).await? == 0 {
-                    let body = buffer.filled().to_vec();
-                    buffer.consume(body.len());
-                    return Ok(body);
-                }
-            }
-            Err(Fault::BodyTooLong)
-        }
-        Framing::Chunked => read_chunks(buffer, stream, limit).await,
-    }
-}
-
-async fn read_chunks(
-    buffer: &mut Buffer,
-    stream: &mut (impl AsyncRead + Unpin),
-    limit: usize,
-) -> Result<Vec<u8>> {
-    let mut body = Vec::new();
-    // Bounds chunk headers and trailers, which would otherwise be unlimited.
-    let mut overhead_left = limit.max(HEAD_LIMIT);
-    loop {
-        let line = read_line(buffer, stream, &mut overhead_left).await?;
-        let size = line.split(';').next().unwrap_or_default().trim_end_matches([' ', '\t']);
-        let hex = !size.is_empty() && size.len() <= 8 && size.bytes().all(|b| b.is_ascii_hexdigit());
-        let size = usize::from_str_radix(size, 16).ok().filter(|_| hex);
-        let size = size.ok_or(Fault::Malformed("chunk size"))?;
-        if size == 0 {
-            while !read_line(buffer, stream, &mut overhead_left).await?.is_empty() {}
-            return Ok(body);
-        }
-        if body.len() + size > limit {
-            return Err(Fault::BodyTooLong);
-        }
-        fill_to(buffer, stream, size + 2).await?;
-        let (chunk, rest) = buffer.filled().split_at(size);
-        if !rest.starts_with(b"\r\n") {
-            return Err(Fault::Malformed("chunk"));
-        }
-        body.extend_from_slice(chunk);
-        buffer.consume(size + 2);
-    }
-}
-
-async fn read_line(
-    buffer: &mut Buffer,
-    stream: &mut (impl AsyncRead + Unpin),
-    overhead_left: &mut usize,
-) -> Result<String> {
-    loop {
-        let end = buffer.filled().windows(2).position(|w| w == b"\r\n");
-        if end.unwrap_or(buffer.filled().len()) + 2 > (*overhead_left).min(HEAD_LIMIT) {
-            return Err(Fault::Malformed("line is too long"));
-        }
-        if let Some(at) = end {
-            *overhead_left -= at + 2;
-            let line = String::from_utf8_lossy(&buffer.filled()[..at]).into_owned();
-            buffer.consume(at + 2);
-            let is_control = |b: u8| b < b' ' && b != b'\t';
-            return if line.bytes().any(is_control) { Err(Fault::Malformed("chunk")) } else { Ok(line) };
-        }
-        if buffer.fill(stream).await? == 0 {
-            return Err(Fault::Broken);
-        }
-    }
-}
-
-async fn fill_to(buffer: &mut Buffer, stream: &mut (impl AsyncRead + Unpin), n: usize) -> Result<()> {
-    while buffer.filled().len() < n {
-        if buffer.fill(stream).await? == 0 {
-            return Err(Fault::Broken);
-        }
-    }
-    Ok(())
-}
-
 /// A complete answer: its head, status and body, and whether the connection persists.
 pub type Answer = (Head, u16, Vec<u8>, bool);
 
-/// Reads one complete answer; `None` for an interim one (RFC 9110, section 15.2).
-pub async fn read_one_answer(
+/// The head of an answer, and what it says about the body.
+#[derive(Clone, Debug)]
+pub struct AnswerHead {
+    /// The status line and the headers.
+    pub head: Head,
+    /// The status code.
+    pub status: u16,
+    /// How the body is delimited.
+    pub framing: Framing,
+    /// Whether the connection persists after the answer.
+    pub keep_alive: bool,
+}
+
+/// Reads the head of an answer; `None` for an interim one (RFC 9110, section 15.2).
+pub async fn read_answer_head(
     buffer: &mut Buffer,
     stream: &mut (impl AsyncRead + Unpin),
-    limit: usize,
-) -> Result<Option<Answer>> {
+) -> Result<Option<AnswerHead>> {
     let head = read_head(buffer, stream, begins_answer).await?.ok_or(Fault::Broken)?;
     let version = head.line[0].as_str();
     if !matches!(version, "HTTP/1.1" | "HTTP/1.0") {
@@ -334,6 +255,16 @@
     if framing == Framing::ToEnd && head.keeps_alive(version) {
         return Err(Fault::Malformed("framing"));
     }
-    let body = read_body(buffer, stream, framing, limit).await?;
-    Ok(Some((head, status, body, keep_alive)))
+    Ok(Some(AnswerHead { head, status, framing, keep_alive }))
+}
+
+/// Reads one complete answer; `None` for an interim one.
+pub async fn read_one_answer(
+    buffer: &mut Buffer,
+    stream: &mut (impl AsyncRead + Unpin),
+    limit: usize,
+) -> Result<Option<Answer>> {
+    let Some(answer) = read_answer_head(buffer, stream).await? else { return Ok(None) };
+    let body = read_body(buffer, stream, answer.framing, limit).await?;
+    Ok(Some((answer.head, answer.status, body, answer.keep_alive)))
 }
--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -2,5 +2,6 @@
 //! socket or a timer: functions that read take any [`futures_lite::AsyncRead`], and time limits are
 //! up to the caller.
 
+pub mod body;
 pub mod buffer;
 pub mod http;
--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -30,7 +30,8 @@
         self.next_request_id.set(id.0 + 1);
         let (sender, decisions) = async_channel::unbounded();
         let mut core = self.core.borrow_mut();
-        let entry = RequestState { decisions: sender, attempts: Vec::new(), closed: false };
+        let entry =
+            RequestState { decisions: sender, attempts: Vec::new(), deadline: new.deadline, closed: false };
         core.requests.insert(id, entry);
         drop(core);
         let request =
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -4,7 +4,7 @@
 use async_channel::Receiver;
 use cottonpoint_decide::*;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// One attempt of a request at an endpoint. Its outcome is reported once: by [`Attempt::complete`],
 /// or as cancelled if it is dropped before.
@@ -15,8 +15,8 @@
     number: u8,
     /// The endpoint that it goes to.
     pub endpoint: EndpointAddress,
-    /// Time at which the attempt is abandoned.
-    pub deadline: Time,
+    /// Time at which the attempt is abandoned if its answer has not begun.
+    deadline: Time,
     sent_at: Time,
     aborted: Receiver<AbortReason>,
     completed: bool,
@@ -35,6 +35,42 @@
         Attempt { sidecar, request, number, endpoint, deadline, sent_at, aborted, completed: false }
     }
 
+    /// The current time.
+    pub fn now(&self) -> Time {
+        self.sidecar.clock.now()
+    }
+
+    /// The [`Instant`] of a time, for use with timers.
+    pub fn instant(&self, time: Time) -> Instant {
+        self.sidecar.clock.instant(time)
+    }
+
+    /// When the attempt is abandoned if its answer has not begun.
+    pub fn deadline(&self) -> Instant {
+        self.instant(self.deadline)
+    }
+
+    /// When the client of the request stops waiting for its answer.
+    pub fn request_deadline_time(&self) -> Time {
+        let core = self.sidecar.core.borrow();
+        core.requests.get(&self.request).map_or(self.deadline, |entry| entry.deadline)
+    }
+
+    /// The same as [`Attempt::request_deadline_time`], for use with timers.
+    pub fn request_deadline(&self) -> Instant {
+        self.instant(self.request_deadline_time())
+    }
+
+    /// Whether another attempt would be made if this one, which may have run, were given up now.
+    pub fn may_be_repeated(&self) -> bool {
+        self.sidecar.core.borrow().balancer.may_repeat(self.request, self.now())
+    }
+
+    /// Counts an answer that was cut off while it was passed on.
+    pub fn record_cut(&self, reason: &'static str) {
+        self.sidecar.counts.answer_cut(reason);
+    }
+
     /// Waits until the attempt should be aborted.
     pub async fn aborted(&self) -> AbortReason {
         self.aborted.recv().await.unwrap_or(AbortReason::Cancelled)
--- a/crates/core/src/counts.rs
+++ b/crates/core/src/counts.rs
@@ -50,6 +50,7 @@
     attempts_written: Cell<u64>,
     configurations: [Cell<u64>; 2],
     bad_requests: Cell<u64>,
+    answers_cut: RefCell<BTreeMap<&'static str, u64>>,
 }
 
 fn increment(count: &Cell<u64>) {
@@ -87,6 +88,16 @@
         self.poll_failures.borrow().iter().map(|(reason, count)| (*reason, *count)).collect()
     }
 
+    /// Counts an answer that was cut off while it was passed on to its client, for `reason`.
+    pub fn answer_cut(&self, reason: &'static str) {
+        *self.answers_cut.borrow_mut().entry(reason).or_default() += 1;
+    }
+
+    /// Answers that were cut off while they were passed on, by reason.
+    pub fn answers_cut(&self) -> Vec<(&'static str, u64)> {
+        self.answers_cut.borrow().iter().map(|(reason, count)| (*reason, *count)).collect()
+    }
+
     pub(crate) fn lease_expired(&self) {
         increment(&self.lease_expiries);
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 //! reports the outcome, until a decision ends the request.
 
 mod admit;
+mod answer_hold;
 mod book;
 mod clock;
 mod counts;
@@ -18,6 +19,7 @@
 mod targets;
 
 pub use admit::{NewRequest, RequestHandle};
+pub use answer_hold::{AnswerHold, HOLD_LIMIT_BYTES, HoldDecision};
 pub use book::Attempt;
 pub use clock::Clock;
 pub use counts::{ClassCounts, Counts, RequestOutcome};
@@ -46,7 +48,9 @@
     decisions: Sender<Decision>,
     /// For each attempt, the channel that aborts it and the endpoint it goes to.
     attempts: Vec<(Sender<AbortReason>, EndpointId)>,
-    /// The final answer has been given, or none is owed any more.
+    /// When the client stops waiting for the answer.
+    deadline: Time,
+    /// The final answer has been given or has begun, or none is owed any more.
     closed: bool,
 }
 
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -43,6 +43,21 @@
         self.decisions.recv().await.unwrap_or(Decision::Ended)
     }
 
+    /// Records that an answer begins to be passed on to the client as it arrives: no other attempt
+    /// and no other answer can follow. False if the request has had its final answer, or is owed
+    /// none.
+    pub fn start_answer(&self) -> bool {
+        let opened = {
+            let mut core = self.sidecar.core.borrow_mut();
+            let entry = core.requests.get_mut(&self.id);
+            entry.is_some_and(|entry| !std::mem::replace(&mut entry.closed, true))
+        };
+        if opened {
+            self.sidecar.feed(Event::StreamStarted { id: self.id });
+        }
+        opened
+    }
+
     /// Reports that the client has gone. The balancer then cancels the attempts under way.
     pub fn abandon(&self) {
         let mut core = self.sidecar.core.borrow_mut();
--- a/crates/core/src/stop.rs
+++ b/crates/core/src/stop.rs
@@ -69,6 +69,11 @@
         deadline.min(self.last_answer_at)
     }
 
+    /// When the last answer is sent; answers that are still being passed on end then.
+    pub fn last_answer_at(&self) -> Time {
+        self.last_answer_at
+    }
+
     /// Whether the shutdown is complete: new connections have stopped arriving, and none is open.
     pub fn is_complete(&self, now: Time, open: usize) -> bool {
         open == 0 && now >= self.requested_at + KILL_SLACK
--- a/crates/decide/src/policy/attempts.rs
+++ b/crates/decide/src/policy/attempts.rs
@@ -175,6 +175,22 @@
         self.requests.get(&id).is_some_and(|r| r.may_run(at))
     }
 
+    /// Whether another attempt would be made at `now` if the one under way, which may have run, were
+    /// given up.
+    pub fn may_repeat(&self, id: RequestId, now: Time) -> bool {
+        let Some(r) = self.requests.get(&id) else { return false };
+        let first_sent_at =
+            r.may_have_run.map(|(first, ..)| first).or(r.attempts.last().map(|a| a.sent_at));
+        let effect_allows = match (r.rules.class.effect, first_sent_at) {
+            (Effect::Safe, _) => true,
+            (Effect::Keyed { window, .. }, Some(first)) => now < first + window,
+            (Effect::Keyed { .. }, None) => true,
+            (Effect::Unsafe, _) => false,
+        };
+        let attempts_left = r.attempts.len() < r.rules.limits.max_attempts as usize;
+        effect_allows && attempts_left && now < r.worth_until && self.retry_budget >= 1.0
+    }
+
     /// The average service time of a class in seconds; 0 before its first answer. `None` if the
     /// settings in force do not have the class.
     fn service_time_of(&self, class: Option<ClassId>) -> Option<f64> {
--- a/crates/lab/src/live/endpoint.rs
+++ b/crates/lab/src/live/endpoint.rs
@@ -6,6 +6,7 @@
 use crate::draw::{Purpose, RandomStream};
 use async_executor::Task;
 use async_io::{Async, Timer};
+use cottonpoint_codec::body::read_body;
 use cottonpoint_codec::buffer::Buffer;
 use cottonpoint_codec::http::{self, Framing};
 use futures_lite::AsyncWriteExt;
@@ -155,7 +156,7 @@
         let mut reader = &stream;
         while let Ok(Some(head)) = http::read_head(&mut buffer, &mut reader, http::begins_request).await {
             let Ok(framing) = http::framing(&head, &head.line[2], Framing::Length(0)) else { return };
-            if http::read_body(&mut buffer, &mut reader, framing, http::BODY_LIMIT).await.is_err() {
+            if read_body(&mut buffer, &mut reader, framing, http::BODY_LIMIT).await.is_err() {
                 return;
             }
             let class = head.line[1].split('/').nth(1).unwrap_or_default();
--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -8,6 +8,7 @@
 use crate::live::{CountGuard, Executor};
 use async_executor::Task;
 use async_io::{Async, Timer};
+use cottonpoint_codec::body::read_body;
 use cottonpoint_codec::buffer::Buffer;
 use cottonpoint_codec::http::{self, Framing, Head};
 use futures_lite::{AsyncWriteExt, future};
@@ -128,7 +129,7 @@
             attempt.record_head(&head);
             let framing = http::framing(&head, &head.line[2], Framing::Length(0));
             let Ok(framing) = framing else { return Ok(()) };
-            if http::read_body(&mut buffer, &mut reader, framing, http::BODY_LIMIT).await.is_err() {
+            if read_body(&mut buffer, &mut reader, framing, http::BODY_LIMIT).await.is_err() {
                 return Ok(());
             }
             attempt.mark_received();
--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -1,5 +1,6 @@
 //! Clients: the listener, the connections, and the requests read from them.
 
+mod answer_stream;
 mod close;
 mod eviction;
 mod flow;
@@ -12,9 +13,10 @@
 pub use take_in::{AcceptedRequest, accept_request};
 
 use crate::servers::EndpointConnections;
-use crate::with_timeout;
+use crate::write_with_progress;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
+use cottonpoint_codec::body::read_body;
 use cottonpoint_codec::buffer::Buffer;
 use cottonpoint_codec::http::{self, Fault, Framing, Head};
 use cottonpoint_core::{Executor, Shutdown, Sidecar};
@@ -22,7 +24,9 @@
 use eviction::{
     ConnectionGuard, DRAIN_INTERVAL, EVICT_AT_MAXIMUM, EVICT_EARLY, EVICT_IN_DRAIN, Evictable, Stage,
 };
+use flow::Answered;
 use futures_lite::future;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::io;
@@ -34,8 +38,10 @@
 /// the same time from its first byte: no client occupies a connection longer without a response or
 /// a close.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2400);
-/// The time after which writing a response fails if the client does not read it.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Writing a response fails when the client has read nothing for this long.
+const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// The part of a response's body that is written together with its head, in bytes.
+const FIRST_WRITE_BYTES: usize = 4 << 10;
 /// A connection without a request is closed after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 /// The minimum rate of a body in bytes per second: half of the 64 kB a second at which clients send
@@ -249,45 +255,57 @@
     /// Handles a client's connection from its first byte to its close.
     async fn connection(self: Rc<Self>, stream: Async<TcpStream>) {
         let _ = stream.get_ref().set_nodelay(true);
-        let last_response = self.serve(&stream).await;
-        self.close_client(&stream, last_response).await;
+        match self.serve(&stream).await {
+            ConnectionEnd::Close { last_response } => self.close_client(&stream, last_response).await,
+            ConnectionEnd::Reset => {
+                let _ = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
+            }
+        }
     }
 
-    /// Serves the requests of a connection until it is to close. Returns when its last response was
-    /// written.
-    async fn serve(&self, stream: &Async<TcpStream>) -> Option<Instant> {
+    /// Serves the requests of a connection until it is to end.
+    async fn serve(&self, stream: &Async<TcpStream>) -> ConnectionEnd {
         let (mut buffer, mut last_response) = (Buffer::default(), None);
         let mut first_deadline = Some(Instant::now() + REQUEST_TIMEOUT);
         while self.await_request(stream, &mut buffer, first_deadline).await {
             let deadline = first_deadline.take().unwrap_or_else(|| Instant::now() + REQUEST_TIMEOUT);
             let read = self.read_request(stream, &mut buffer, deadline);
             let read = self.run_evictable(Stage::ReadingRequest, read).await;
-            let (reply, keep) = match read.unwrap_or(Err(Fault::Stalled)) {
+            let (answered, keep) = match read.unwrap_or(Err(Fault::Stalled)) {
                 Ok(Some((head, body))) => {
                     let keep = head.keeps_alive(&head.line[2]);
                     (self.answer(stream, &mut buffer, head, body).await, keep)
                 }
                 Ok(None) => break,
-                Err(fault) => (take_in::unreadable_reply(&fault), false),
+                Err(fault) => (take_in::unreadable_reply(&fault).map(Answered::Reply), false),
+            };
+            let keep = match answered {
+                None => break,
+                Some(Answered::PassedOn { needs_reset: true, .. }) => return ConnectionEnd::Reset,
+                Some(Answered::PassedOn { keep, .. }) => keep && !self.is_draining(),
+                Some(Answered::Reply(reply)) => self.write_reply(stream, reply, keep).await,
             };
-            let Some(reply) = reply else { break };
-            if (400..500).contains(&reply.status) {
-                self.sidecar.counts().bad_request();
-                tracing::warn!(status = reply.status, "rejected an invalid request");
-            }
-            // After a request that cannot be served the client has to reconnect. The task yields
-            // after each response, so that a client that sends without a pause gets no more than
-            // its share.
-            let keep = keep && !reply.closes_connection() && !self.is_draining();
-            let bytes = reply.to_bytes(keep);
-            let sent = with_timeout(WRITE_TIMEOUT, crate::write_all(stream, &bytes)).await;
             last_response = Some(Instant::now());
-            if sent.is_err() || !keep {
+            if !keep {
                 break;
             }
+            // The task yields after each response, so that a client that sends without a pause gets
+            // no more than its share.
             future::yield_now().await;
         }
-        last_response
+        ConnectionEnd::Close { last_response }
+    }
+
+    /// Writes a reply. Returns whether the connection stays open: after a request that cannot be
+    /// served the client has to reconnect.
+    async fn write_reply(&self, stream: &Async<TcpStream>, reply: Reply, keep: bool) -> bool {
+        if (400..500).contains(&reply.status) {
+            self.sidecar.counts().bad_request();
+            tracing::warn!(status = reply.status, "rejected an invalid request");
+        }
+        let keep = keep && !reply.closes_connection() && !self.is_draining();
+        let sent = write_message(stream, reply.head_bytes(keep), reply.body()).await;
+        sent.is_ok() && keep
     }
 
     /// Waits for the first byte of a request; false when the connection is to close without one.
@@ -328,13 +346,33 @@
         if head.has("expect", "100-continue") && buffer.is_empty() {
             crate::write_all(stream, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
-        let body = async { Ok(http::read_body(buffer, &mut reader, framing, http::BODY_LIMIT).await) };
+        let body = async { Ok(read_body(buffer, &mut reader, framing, http::BODY_LIMIT).await) };
         let body_deadline = deadline.max(Instant::now() + body_timeout(framing));
         let body = super::with_deadline(body_deadline, body).await.unwrap_or(Err(Fault::Stalled))?;
         Ok(Some((head, body)))
     }
 }
 
+/// How a client's connection ends.
+enum ConnectionEnd {
+    /// By a graceful close.
+    Close {
+        /// When its last response was written.
+        last_response: Option<Instant>,
+    },
+    /// By a reset: the client has to see that its response is not whole.
+    Reset,
+}
+
+/// Writes the head and the body of a response.
+async fn write_message(stream: &Async<TcpStream>, mut head: Vec<u8>, body: &[u8]) -> io::Result<()> {
+    // One write for most responses.
+    let (first, rest) = body.split_at(body.len().min(FIRST_WRITE_BYTES));
+    head.extend_from_slice(first);
+    write_with_progress(stream, &head, CLIENT_STALL_TIMEOUT).await?;
+    write_with_progress(stream, rest, CLIENT_STALL_TIMEOUT).await
+}
+
 async fn accept_retry_delay() {
     Timer::after(MAX_ACCEPT_RETRY_DELAY).await;
 }
--- a/crates/net/src/clients/relay.rs
+++ b/crates/net/src/clients/relay.rs
@@ -1,6 +1,5 @@
 //! The response to a client, from an endpoint or local.
 
-use crate::servers::EndpointResponse;
 use cottonpoint_core::LocalReply;
 use std::fmt::Write;
 
@@ -16,15 +15,10 @@
 }
 
 impl Reply {
-    /// The response of an endpoint, with its body unchanged.
-    pub fn from_endpoint(response: EndpointResponse) -> Reply {
-        let content_type = response.content_type.map(|t| ("Content-Type", t));
-        Reply {
-            status: 200,
-            close: false,
-            headers: content_type.into_iter().collect(),
-            body: response.body,
-        }
+    /// The whole response of an endpoint, with its body unchanged.
+    pub fn from_endpoint(content_type: Option<String>, body: Vec<u8>) -> Reply {
+        let content_type = content_type.map(|t| ("Content-Type", t));
+        Reply { status: 200, close: false, headers: content_type.into_iter().collect(), body }
     }
 
     /// The local reply for a final answer without an endpoint. Only a refusal may be worded as one.
@@ -61,8 +55,8 @@
         self.close || (400..500).contains(&self.status)
     }
 
-    /// Serializes the response; `keep` says whether the connection stays open.
-    pub fn to_bytes(&self, keep: bool) -> Vec<u8> {
+    /// Serializes the head of the response; `keep` says whether the connection stays open.
+    pub fn head_bytes(&self, keep: bool) -> Vec<u8> {
         let reason = match self.status {
             200 => "OK",
             400 => "Bad Request",
@@ -82,8 +76,11 @@
         }
         let connection_header = if keep { "" } else { "Connection: close\r\n" };
         let _ = write!(head, "Content-Length: {}\r\n{connection_header}\r\n", self.body.len());
-        let mut bytes = head.into_bytes();
-        bytes.extend_from_slice(&self.body);
-        bytes
+        head.into_bytes()
+    }
+
+    /// The body.
+    pub fn body(&self) -> &[u8] {
+        &self.body
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -33,6 +33,24 @@
     .await
 }
 
+/// Writes all bytes, and fails with `TimedOut` when none of them could be written for `stall_limit`.
+pub async fn write_with_progress(
+    stream: &Async<TcpStream>,
+    mut bytes: &[u8],
+    stall_limit: Duration,
+) -> io::Result<()> {
+    let mut writer = stream;
+    while !bytes.is_empty() {
+        match with_timeout(stall_limit, writer.write(bytes)).await {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => bytes = &bytes[written..],
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
 /// Writes all bytes; continues after interruptions and short writes.
 pub async fn write_all(stream: &Async<TcpStream>, mut bytes: &[u8]) -> io::Result<()> {
     let mut writer = stream;
--- a/crates/net/src/servers/mod.rs
+++ b/crates/net/src/servers/mod.rs
@@ -1,8 +1,12 @@
 //! Connections to endpoints, pooled and reused.
 
+mod client;
+mod receive;
 mod send;
+mod write;
 
-pub use send::{EndpointResponse, OutgoingRequest};
+pub use client::{AnswerStart, AttemptClient, ClientFault};
+pub use send::{AttemptEnd, EndpointResponse, OutgoingRequest};
 
 use async_executor::Task;
 use async_io::{Async, Timer};
--- /dev/null
+++ b/crates/net/src/servers/write.rs
@@ -0,0 +1,122 @@
+//! Writes a request to an endpoint, and tracks how far it has come.
+
+use super::Connection;
+use super::send::OutgoingRequest;
+use crate::origin::Origin;
+use cottonpoint_core::Denial;
+use cottonpoint_decide::Outcome;
+use futures_lite::{AsyncWrite, future};
+use std::cell::Cell;
+use std::fmt::Write;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::task::Poll;
+use std::time::{Duration, Instant};
+
+/// A connect without any response for this long counts against the endpoint, even if the attempt's
+/// own timeout ends it: a handshake takes far less.
+const CONNECT_FAILED_AFTER: Duration = Duration::from_millis(100);
+
+/// The progress of an attempt.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// No byte of it is written.
+    NotStarted,
+    /// No byte of it is written, and a connect started at this time.
+    Connecting(Instant),
+    /// Its first byte is written.
+    Started,
+    /// Its last byte is written: the endpoint may execute it.
+    Written,
+    /// The head of its answer has arrived: from here on the answer has its own time limits.
+    Answering,
+}
+
+impl Progress {
+    /// Whether a byte of it is written.
+    pub(super) fn has_started(self) -> bool {
+        matches!(self, Progress::Started | Progress::Written | Progress::Answering)
+    }
+
+    /// The outcome where the attempt's own time ends. A request that was not written completely was
+    /// never executed; an endpoint that does not read it, or does not accept the connection, has
+    /// failed.
+    pub(super) fn timeout_outcome(self) -> Outcome {
+        match self {
+            Progress::Written | Progress::Answering => Outcome::TimedOut,
+            Progress::Started => Outcome::ConnectFailed,
+            Progress::Connecting(since) if since.elapsed() >= CONNECT_FAILED_AFTER => {
+                Outcome::ConnectFailed
+            }
+            Progress::Connecting(_) | Progress::NotStarted => Outcome::NotSent,
+        }
+    }
+}
+
+/// The outcome of an attempt whose connection failed before the request was written completely. A
+/// local fault says nothing about the endpoint.
+pub(super) fn connection_failure_outcome(error: &io::Error) -> Outcome {
+    match Origin::of(error) {
+        Origin::Local => {
+            tracing::debug!(why = %error, "connecting to an endpoint failed because of a local fault");
+            Outcome::NotSent
+        }
+        Origin::Peer | Origin::Path | Origin::Timeout => Outcome::ConnectFailed,
+    }
+}
+
+/// Why a request was not written completely, and so was never executed.
+pub(super) enum WriteError {
+    /// The connection failed.
+    ConnectionFailed(io::Error),
+    /// The guard denied it, or denied the rest of it.
+    Denied(Denial),
+}
+
+/// Writes the head and then the body, and checks `may_write` before each write; `on_started` is
+/// called once, when the first piece is written.
+pub(super) async fn write(
+    connection: &Connection,
+    head: &[u8],
+    body: &[u8],
+    progress: &Cell<Progress>,
+    may_write: impl Fn() -> Result<(), Denial>,
+    on_started: impl Fn(),
+) -> Result<(), WriteError> {
+    let mut written = 0;
+    while written < head.len() + body.len() {
+        let rest = [
+            IoSlice::new(&head[written.min(head.len())..]),
+            IoSlice::new(&body[written.saturating_sub(head.len())..]),
+        ];
+        let write = future::poll_fn(|context| {
+            if let Err(denial) = may_write() {
+                return Poll::Ready(Err(WriteError::Denied(denial)));
+            }
+            loop {
+                match Pin::new(&mut &*connection.stream).poll_write_vectored(context, &rest) {
+                    Poll::Ready(Err(error)) if error.kind() == io::ErrorKind::Interrupted => {}
+                    polled => return polled.map_err(WriteError::ConnectionFailed),
+                }
+            }
+        });
+        written += match write.await? {
+            0 => return Err(WriteError::ConnectionFailed(io::ErrorKind::WriteZero.into())),
+            n => n,
+        };
+        if !progress.get().has_started() {
+            progress.set(Progress::Started);
+            on_started();
+        }
+    }
+    Ok(())
+}
+
+/// The head of a request as it goes to an endpoint.
+pub(super) fn serialize_head(request: &OutgoingRequest, deadline: Instant) -> Vec<u8> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let mut head = String::with_capacity(request.head.len() + 64);
+    head.push_str(&request.head);
+    let _ = write!(head, "X-Time-Left-Ms: {}\r\n\r\n", left.as_millis());
+    head.into_bytes()
+}
--- a/crates/program/src/metrics.rs
+++ b/crates/program/src/metrics.rs
@@ -84,6 +84,8 @@
             "Polls and connects that came to nothing, by reason",
             polls,
         );
+        let cuts = family(&mut counts.answers_cut().into_iter());
+        registry.register("answers_cut", "Answers cut off while they were passed on, by reason", cuts);
         let gauge = |n: usize| {
             let gauge: Gauge = Gauge::default();
             gauge.set(i64::try_from(n).unwrap_or(i64::MAX));
