Tests of the memory limit and of long requests, failing

The tests play 1,000 clients of seven kinds against a process of 1,024 descriptors; its peak has to stay under half of limits.memory_mb, since the two processes of an upgrade share the limit, and calm clients have to be answered.

--- a/crates/program/tests/sidecar/harness.rs
+++ b/crates/program/tests/sidecar/harness.rs
@@ -108,7 +108,7 @@
     }
 
     /// Waits for the sidecar to connect, and fails the test if it does not.
-    fn accept_stream(&self) -> TcpStream {
+    pub fn accept_stream(&self) -> TcpStream {
         self.listener.set_nonblocking(false).expect("a socket");
         let (listener, (sender, receiver)) = (self.listener.try_clone().expect("a descriptor"), channel());
         thread::spawn(move || sender.send(listener.accept()));
@@ -117,6 +117,11 @@
         stream
     }
 
+    /// The same as [`ScriptedServer::accept_stream`], for as long as it takes.
+    pub fn accept_stream_without_limit(&self) -> TcpStream {
+        self.listener.accept().expect("a socket").0
+    }
+
     /// Answers every message with 200 and the message's first line from now on, on threads of its
     /// own. Returns the messages as they arrive.
     pub fn echo_requests(self) -> Receiver<String> {
--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -19,6 +19,8 @@
 mod list;
 mod local_faults;
 mod long_answers;
+mod long_requests;
+mod memory;
 mod program;
 mod reloads;
 mod retries;
