--- a/crates/codec/src/buffer.rs
+++ b/crates/codec/src/buffer.rs
@@ -3,7 +3,8 @@
 use futures_lite::{AsyncRead, AsyncReadExt, future};
 use std::io;
 
-const READ_SIZE: usize = 4096;
+/// The number of bytes by which the buffer grows, and that it keeps when it is empty.
+pub const READ_SIZE: usize = 4096;
 /// Number of reads after which the task yields: reading data that is already there does not wait,
 /// so a peer that sends without end would otherwise keep the thread to itself.
 const READS_PER_YIELD: u8 = 4;
@@ -28,6 +29,11 @@
         self.start == self.end
     }
 
+    /// The memory that the buffer holds, in bytes.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Drops the first `n` bytes. A buffer that becomes empty releases the memory that a large
     /// message needed.
     pub fn consume(&mut self, n: usize) {
@@ -47,8 +53,8 @@
             self.bytes.copy_within(self.start..self.end, 0);
             (self.start, self.end) = (0, self.end - self.start);
             if self.bytes.len() - self.end < READ_SIZE {
-                let room = self.bytes.len().max(READ_SIZE);
-                self.bytes.resize(self.end + room, 0);
+                self.bytes.reserve_exact(READ_SIZE);
+                self.bytes.resize(self.end + READ_SIZE, 0);
             }
         }
     }
--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -4,6 +4,7 @@
 use async_channel::Receiver;
 use cottonpoint_decide::*;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// The properties of a request that the balancer needs.
 #[derive(Clone, Copy, Debug)]
@@ -30,8 +31,14 @@
         self.next_request_id.set(id.0 + 1);
         let (sender, decisions) = async_channel::unbounded();
         let mut core = self.core.borrow_mut();
-        let entry =
-            RequestState { decisions: sender, attempts: Vec::new(), deadline: new.deadline, closed: false };
+        let entry = RequestState {
+            decisions: sender,
+            attempts: Vec::new(),
+            deadline: new.deadline,
+            admitted_at: self.clock.now(),
+            arriving_for: Duration::ZERO,
+            closed: false,
+        };
         core.requests.insert(id, entry);
         drop(core);
         let request =
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -47,13 +47,20 @@
 
     /// When the attempt is abandoned if its answer has not begun.
     pub fn deadline(&self) -> Instant {
-        self.instant(self.deadline)
+        self.instant(self.deadline_time())
+    }
+
+    /// The time of [`Attempt::deadline`], which is later while the request is still arriving.
+    fn deadline_time(&self) -> Time {
+        let core = self.sidecar.core.borrow();
+        let entry = core.requests.get(&self.request);
+        self.deadline + entry.map_or(Duration::ZERO, |entry| entry.arriving_for)
     }
 
     /// When the client of the request stops waiting for its answer.
     pub fn request_deadline_time(&self) -> Time {
         let core = self.sidecar.core.borrow();
-        core.requests.get(&self.request).map_or(self.deadline, |entry| entry.deadline)
+        core.requests.get(&self.request).map_or(self.deadline, |entry| entry.deadline())
     }
 
     /// The same as [`Attempt::request_deadline_time`], for use with timers.
@@ -90,7 +97,7 @@
             client_waits,
             request_open,
             repeatable,
-            deadline: self.deadline,
+            deadline: self.deadline_time(),
             endpoint: sidecar.core.borrow().endpoint_list.standing(self.endpoint.id),
             list_valid: sidecar.lease.borrow().is_valid(now),
         };
@@ -116,7 +123,7 @@
         let sidecar = &self.sidecar;
         let now = sidecar.clock.now();
         let list_violated = sidecar.lease.borrow().is_violated(now);
-        if let Some(violation) = sidecar.guard.check_started(now, self.deadline, list_violated) {
+        if let Some(violation) = sidecar.guard.check_started(now, self.deadline_time(), list_violated) {
             let (age, _) = sidecar.list_age();
             tracing::error!(
                 flow = self.request.0,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 mod guard;
 mod lease;
 mod list;
+mod memory;
 mod route;
 mod stop;
 mod targets;
@@ -26,6 +27,7 @@
 pub use guard::{AttemptFacts, Denial, EndpointStanding, Guard, Violation};
 pub use lease::{Lease, PollEvent};
 pub use list::MAX_ANSWER_TRANSIT;
+pub use memory::{MemoryAccount, Purpose};
 pub use route::{AbortReason, Decision, LocalReply};
 pub use stop::Shutdown;
 pub use targets::{EndpointAddress, EndpointList, EndpointRecord, Lifecycle, UnknownEndpoint, endpoint_id};
@@ -48,12 +50,22 @@
     decisions: Sender<Decision>,
     /// For each attempt, the channel that aborts it and the endpoint it goes to.
     attempts: Vec<(Sender<AbortReason>, EndpointId)>,
-    /// When the client stops waiting for the answer.
+    /// When the client stops waiting for the answer, if its last byte had arrived at the admission.
     deadline: Time,
+    admitted_at: Time,
+    /// How long after the admission the last byte of the request had not arrived yet.
+    arriving_for: Duration,
     /// The final answer has been given or has begun, or none is owed any more.
     closed: bool,
 }
 
+impl RequestState {
+    /// When the client stops waiting for the answer, as far as is known.
+    fn deadline(&self) -> Time {
+        self.deadline + self.arriving_for
+    }
+}
+
 struct Core {
     balancer: Balancer,
     requests: HashMap<RequestId, RequestState>,
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -43,6 +43,20 @@
         self.decisions.recv().await.unwrap_or(Decision::Ended)
     }
 
+    /// Records that the client has not sent its last byte yet: the request's times count from that.
+    pub fn note_still_arriving(&self) {
+        let now = self.sidecar.clock.now();
+        if let Some(entry) = self.sidecar.core.borrow_mut().requests.get_mut(&self.id) {
+            entry.arriving_for = now.since(entry.admitted_at);
+        }
+    }
+
+    /// When the client stops waiting for the answer, as far as is known.
+    pub fn deadline(&self) -> Time {
+        let core = self.sidecar.core.borrow();
+        core.requests.get(&self.id).map_or(self.sidecar.clock.now(), |entry| entry.deadline())
+    }
+
     /// Records that an answer begins to be passed on to the client as it arrives: no other attempt
     /// and no other answer can follow. False if the request has had its final answer, or is owed
     /// none.
--- a/crates/lab/src/scale/host/hollow.rs
+++ b/crates/lab/src/scale/host/hollow.rs
@@ -11,6 +11,7 @@
 use cottonpoint_core::{Clock, Sidecar, endpoint_id};
 use cottonpoint_decide::ListKind;
 use cottonpoint_net::list::{DiscoveryAddress, NameTable, Watcher};
+use cottonpoint_net::memory::Memory;
 use cottonpoint_net::servers::{EndpointConnections, PoolSettings};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -77,7 +78,9 @@
         let settings = names.balancer_settings(platform);
         let (sidecar, subscriptions) =
             Sidecar::new(settings, config.seed, Clock::start(), self.executor.clone());
-        let endpoint_connections = EndpointConnections::new(pool_settings(&config), self.executor.clone());
+        let memory = Memory::new(config.memory_mb);
+        let endpoint_connections =
+            EndpointConnections::new(pool_settings(&config), self.executor.clone(), memory);
         // The balancer starts with its first event.
         sidecar.apply_list(ListKind::Full, &[]);
         let (change_sender, discovery_changes) = async_channel::bounded(1);
@@ -122,6 +125,7 @@
         connect_timeout: config.platform.connect_timeout,
         idle_timeout: config.platform.conn_idle,
         max_connections: config.endpoint_connections,
+        socket_buffer: config.socket_buffer,
         fields: config.platform.fields.clone(),
         field_names: config.platform.field_names.clone(),
     }
--- a/crates/net/src/clients/eviction.rs
+++ b/crates/net/src/clients/eviction.rs
@@ -4,6 +4,7 @@
 use super::Clients;
 use async_channel::Sender;
 use futures_lite::future;
+use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -33,6 +34,10 @@
     (Stage::Idle, Duration::ZERO),
 ];
 
+/// Where memory runs short, a connection is closed whose request has not arrived any further for
+/// this long.
+const STALLED_AFTER: Duration = Duration::from_millis(500);
+
 /// During a drain, kept connections are closed as soon as they are idle, and new ones once they
 /// have had time to start their first request: the front sends a request on a new connection at
 /// once.
@@ -45,9 +50,17 @@
 pub(super) struct Evictable {
     stage: Stage,
     since: Instant,
+    /// When a request that is being read last arrived any further.
+    progress: Option<Rc<Cell<Instant>>>,
     close: Sender<()>,
 }
 
+impl Evictable {
+    fn has_stalled(&self, now: Instant) -> bool {
+        self.progress.as_ref().is_some_and(|progress| progress.get() + STALLED_AFTER <= now)
+    }
+}
+
 impl Clients {
     /// Requests the close of one connection, the first that matches `order`; false where none does.
     pub(super) fn evict_one(&self, order: &[(Stage, Duration)]) -> bool {
@@ -60,6 +73,13 @@
         id.and_then(|id| evictable.remove(&id)).is_some_and(|c| c.close.try_send(()).is_ok())
     }
 
+    /// Requests the close of one connection whose request has stalled; false where there is none.
+    pub(super) fn evict_stalled(&self) -> bool {
+        let (now, mut evictable) = (Instant::now(), self.evictable.borrow_mut());
+        let id = evictable.iter().find(|(_, c)| c.has_stalled(now)).map(|(&id, _)| id);
+        id.and_then(|id| evictable.remove(&id)).is_some_and(|c| c.close.try_send(()).is_ok())
+    }
+
     /// The numbers of connections kept between requests and of those with an accepted request. New
     /// ones that have sent nothing, those whose request is incomplete and those that are closing
     /// count as neither.
@@ -71,9 +91,28 @@
 
     /// Runs `work` on a connection that may be closed meanwhile; returns `None` if it is to close.
     pub(super) async fn run_evictable<T>(&self, stage: Stage, work: impl Future<Output = T>) -> Option<T> {
+        self.run_evictable_with(stage, None, work).await
+    }
+
+    /// The same as [`Clients::run_evictable`], for a request that is being read: `progress` says when
+    /// it last arrived any further.
+    pub(super) async fn read_evictable<T>(
+        &self,
+        progress: Rc<Cell<Instant>>,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        self.run_evictable_with(Stage::ReadingRequest, Some(progress), work).await
+    }
+
+    async fn run_evictable_with<T>(
+        &self,
+        stage: Stage,
+        progress: Option<Rc<Cell<Instant>>>,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
         let (close, closing) = async_channel::bounded(1);
         let id = self.next_id.replace(self.next_id.get() + 1);
-        let evictable = Evictable { stage, since: Instant::now(), close };
+        let evictable = Evictable { stage, since: Instant::now(), progress, close };
         self.evictable.borrow_mut().insert(id, evictable);
         let closed = async {
             let _ = closing.recv().await;
--- a/crates/net/src/clients/flow.rs
+++ b/crates/net/src/clients/flow.rs
@@ -3,21 +3,26 @@
 
 use super::answer_stream::AnswerStream;
 use super::monitor::ClientMonitor;
-use super::{AcceptedRequest, CLIENT_STALL_TIMEOUT, Clients, Reply, accept_request};
-use crate::servers::{AnswerStart, AttemptClient, ClientFault, EndpointResponse};
-use async_io::{Async, Timer};
-use cottonpoint_codec::buffer::Buffer;
+use super::read::{ClientConnection, RequestBody};
+use super::take_in::{self, AcceptedRequest, MEMORY_RETRY_AFTER, accept_request};
+use super::{CLIENT_STALL_TIMEOUT, Clients, Reply};
+use crate::memory::Reservation;
+use crate::servers::{AnswerStart, AttemptClient, BodyFault, ClientFault, EndpointResponse};
+use async_io::Timer;
 use cottonpoint_codec::http::Head;
-use cottonpoint_core::{Decision, LocalReply, NewRequest, RequestHandle, RequestOutcome};
+use cottonpoint_core::{Decision, LocalReply, NewRequest, Purpose, RequestHandle, RequestOutcome};
+use cottonpoint_decide::{Effect, Scope};
 use futures_lite::future;
-use std::net::TcpStream;
-use std::time::Duration;
+use std::cell::Cell;
+use std::time::{Duration, Instant};
 
 /// The time that a response needs to reach the client: it is sent this long before the client's
 /// timeout.
 const RESPONSE_TRAVEL_TIME: Duration = Duration::from_millis(5);
 /// A request that the balancer has not settled this long after its deadline fails all the same.
 const OVERDUE_GRACE: Duration = Duration::from_millis(20);
+/// What an admitted request holds beside its head and body, in bytes.
+const REQUEST_STATE_BYTES: usize = 6 << 10;
 /// The interval at which an answer that is being passed on checks whether a shutdown ends it.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -51,25 +56,33 @@
     }
 }
 
+/// A reply given before the rest of a long request has been read: the connection cannot carry
+/// another request.
+fn early_reply(reply: Reply, is_unread: bool) -> Answered {
+    Answered::Reply(if is_unread { reply.closing_connection() } else { reply })
+}
+
 impl Clients {
     /// Returns the response to a complete request; `None` where its client has disconnected.
     pub(super) async fn answer(
         &self,
-        stream: &Async<TcpStream>,
-        buffer: &mut Buffer,
+        connection: &mut ClientConnection,
         head: Head,
-        body: Vec<u8>,
+        body: RequestBody,
     ) -> Option<Answered> {
         if head.line[1] == "/health/ready" {
             let ready = !self.is_draining() && self.shutdown.get().is_none();
-            return Some(Answered::Reply(match ready && self.sidecar.has_list() {
+            let reply = match ready && self.sidecar.has_list() {
                 true => Reply::text(200, "ready"),
                 false => Reply::text(503, "not ready"),
-            }));
+            };
+            return Some(early_reply(reply, body.rest.is_some()));
         }
         let has_chunks = head.line[2] != "HTTP/1.0";
         let keep = head.keeps_alive(&head.line[2]) && !self.is_draining();
+        let rest = body.rest.clone();
         let accepted = accept_request(&self.settings.borrow(), &head, body);
+        drop(head);
         let accepted = match accepted {
             Ok(accepted) => accepted,
             Err(reply) => return Some(Answered::Reply(reply)),
@@ -78,17 +91,23 @@
         // no harm.
         let at_limit = self.open_ids.borrow().len() >= self.endpoint_connections.max_connections();
         let at_limit = at_limit.then(|| self.settings.borrow().max_retry_after);
+        // The head is held once as it is forwarded, and once more while an attempt is written.
+        let more = REQUEST_STATE_BYTES + 2 * accepted.outgoing.head.len();
+        let has_memory = connection.reservation.try_grow(more, Purpose::Admission);
+        let at_limit = at_limit.or_else(|| (!has_memory).then_some(Some(MEMORY_RETRY_AFTER)));
         if let Some(retry_after) = at_limit.or_else(|| self.retry_after_to_spare_connections().map(Some)) {
-            let answered = Answered::Reply(Reply::local(LocalReply::Refused { retry_after }));
+            let refusal = Reply::local(LocalReply::Refused { retry_after });
+            let answered = early_reply(refusal, rest.is_some());
             self.count_final_response(&accepted.class_name, Some(&answered));
             return Some(answered);
         }
         if !self.open_ids.borrow_mut().insert(accepted.id.clone()) {
             return Some(Answered::Reply(Reply::text(409, "the id is that of an open request")));
         }
-        let monitor = ClientMonitor::new(stream, buffer);
+        let (stream, reservation) = (&connection.stream, &connection.reservation);
+        let monitor = ClientMonitor::new(stream, &mut connection.buffer, reservation, rest);
         let answer = AnswerStream::new(stream, has_chunks, keep, CLIENT_STALL_TIMEOUT);
-        let answered = self.process(&accepted, &monitor, &answer).await;
+        let answered = self.process(&accepted, &monitor, &answer, reservation).await;
         self.open_ids.borrow_mut().remove(&accepted.id);
         self.count_final_response(&accepted.class_name, answered.as_ref());
         answered
@@ -139,13 +158,23 @@
         accepted: &AcceptedRequest,
         monitor: &ClientMonitor<'connection>,
         answer: &AnswerStream<'connection>,
+        reservation: &Reservation,
     ) -> Option<Answered> {
         let clock = self.sidecar.clock();
         let deadline = clock.now() + accepted.time_left.saturating_sub(RESPONSE_TRAVEL_TIME);
         let deadline = self.shutdown.get().map_or(deadline, |shutdown| shutdown.deadline(deadline));
         let request =
             self.sidecar.admit(NewRequest { class: accepted.class, tenant: accepted.tenant, deadline });
-        let client = WaitingClient { clients: self, accepted, request: &request, monitor, answer };
+        let client = WaitingClient {
+            clients: self,
+            accepted,
+            request: &request,
+            monitor,
+            answer,
+            reservation,
+            long_body: Cell::new(LongBody::Untouched),
+            may_have_run: Cell::new(false),
+        };
         let departure = async {
             monitor.disconnected().await;
             if answer.has_begun() {
@@ -155,7 +184,15 @@
             future::pending().await
         };
         let overdue = async {
-            Timer::at(clock.instant(deadline + OVERDUE_GRACE)).await;
+            loop {
+                let deadline = request.deadline();
+                let deadline = self.shutdown.get().map_or(deadline, |shutdown| shutdown.deadline(deadline));
+                let overdue_at = clock.instant(deadline + OVERDUE_GRACE);
+                if Instant::now() >= overdue_at {
+                    break;
+                }
+                Timer::at(overdue_at).await;
+            }
             if answer.has_begun() {
                 self.shutdown_ends_answers().await;
                 self.sidecar.counts().answer_cut("shutdown");
@@ -198,6 +235,21 @@
     request: &'a RequestHandle,
     monitor: &'a ClientMonitor<'connection>,
     answer: &'a AnswerStream<'connection>,
+    reservation: &'a Reservation,
+    long_body: Cell<LongBody>,
+    /// Whether an attempt has been written to its last byte.
+    may_have_run: Cell<bool>,
+}
+
+/// What has happened to the part of a long request that is not held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LongBody {
+    /// None of it has been read.
+    Untouched,
+    /// Some of it has been read, and cannot be sent again.
+    Taken,
+    /// It is invalid or incomplete; the status of the reply, if the client is still there.
+    Faulty(Option<u16>),
 }
 
 impl WaitingClient<'_, '_> {
@@ -207,6 +259,10 @@
         let (id, class) = (self.accepted.id.as_str(), self.accepted.class_name.as_str());
         loop {
             match self.request.next_decision().await {
+                Decision::Attempt(_) if self.long_body.get() != LongBody::Untouched => {
+                    self.request.abandon();
+                    return self.unrepeatable_reply().map(Answered::Reply);
+                }
                 Decision::Attempt(attempt) => {
                     let connections = &self.clients.endpoint_connections;
                     let ended = connections.send(&attempt, &self.accepted.outgoing, self).await;
@@ -215,7 +271,8 @@
                     let is_answer = attempt.complete(outcome, ended.report);
                     match ended.response {
                         Some(EndpointResponse::PassedOn { .. }) => return Some(self.passed_on()),
-                        Some(EndpointResponse::Whole { content_type, body }) if is_answer => {
+                        Some(EndpointResponse::Whole { content_type, body, reservation }) if is_answer => {
+                            self.reservation.merge(reservation);
                             return Some(Answered::Reply(Reply::from_endpoint(content_type, body)));
                         }
                         _ => {}
@@ -224,6 +281,9 @@
                 Decision::LocalReply(response) => {
                     let suspended = self.clients.sidecar.is_suspended();
                     tracing::debug!(id, class, ?response, suspended, "answered with a local reply");
+                    if let LongBody::Faulty(_) = self.long_body.get() {
+                        return self.unrepeatable_reply().map(Answered::Reply);
+                    }
                     return Some(Answered::Reply(Reply::local(response)));
                 }
                 Decision::Ended => return None,
@@ -231,6 +291,21 @@
         }
     }
 
+    /// The reply to a request that cannot be sent again, because part of its body is no longer there.
+    fn unrepeatable_reply(&self) -> Option<Reply> {
+        let harmless =
+            matches!(self.accepted.effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. });
+        match self.long_body.get() {
+            LongBody::Faulty(status) => {
+                status.map(|status| Reply::text(status, "the body is not complete"))
+            }
+            _ if harmless || !self.may_have_run.get() => {
+                Some(Reply::local(LocalReply::Refused { retry_after: Some(MEMORY_RETRY_AFTER) }))
+            }
+            _ => Some(Reply::local(LocalReply::Failed)),
+        }
+    }
+
     /// What has been passed on of an answer that has begun.
     fn passed_on(&self) -> Answered {
         Answered::PassedOn {
@@ -252,7 +327,20 @@
         !client_gone
     }
 
+    async fn next_body_piece(&self) -> Result<Option<Vec<u8>>, BodyFault> {
+        if self.long_body.get() == LongBody::Untouched {
+            self.long_body.set(LongBody::Taken);
+        }
+        let still_sending = || self.request.note_still_arriving();
+        self.monitor.next_body_piece(still_sending).await.map_err(|fault| {
+            let status = take_in::invalid_reply(&fault).map(|reply| reply.status);
+            self.long_body.set(LongBody::Faulty(status));
+            BodyFault
+        })
+    }
+
     fn request_written(&self) {
+        self.may_have_run.set(true);
         self.clients.sidecar.counts().relayed(&self.accepted.class_name);
     }
 
--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -5,20 +5,19 @@
 mod eviction;
 mod flow;
 mod monitor;
+mod read;
 mod relay;
 mod take_in;
 
 pub use close::{LINGERING_TIMEOUT, close};
 pub use relay::Reply;
-pub use take_in::{AcceptedRequest, accept_request};
 
+use crate::memory::Memory;
 use crate::servers::EndpointConnections;
 use crate::write_with_progress;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
-use cottonpoint_codec::body::read_body;
-use cottonpoint_codec::buffer::Buffer;
-use cottonpoint_codec::http::{self, Fault, Framing, Head};
+use cottonpoint_codec::http::Fault;
 use cottonpoint_core::{Executor, Shutdown, Sidecar};
 use cottonpoint_settings::DeploymentSettings;
 use eviction::{
@@ -26,12 +25,13 @@
 };
 use flow::Answered;
 use futures_lite::future;
+use read::{CONNECTION_BYTES, ClientConnection, ReadFault};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::io;
 use std::net::{TcpListener, TcpStream};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 /// The first request of a connection must be complete within this time, and each later one within
@@ -44,20 +44,8 @@
 const FIRST_WRITE_BYTES: usize = 4 << 10;
 /// A connection without a request is closed after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-/// The minimum rate of a body in bytes per second: half of the 64 kB a second at which clients send
-/// bodies (the deployment's requirements), for slack. A body has [`BODY_START_TIME`] more to start.
-const MIN_BODY_RATE: f64 = 32_768.0;
-const BODY_START_TIME: Duration = Duration::from_millis(500);
-
-/// The time for a body of that framing to arrive completely after its head.
-fn body_timeout(framing: Framing) -> Duration {
-    let length = match framing {
-        Framing::Length(n) => n.min(http::BODY_LIMIT),
-        Framing::Chunked | Framing::ToEnd => http::BODY_LIMIT,
-    };
-    BODY_START_TIME + Duration::from_secs_f64(length as f64 / MIN_BODY_RATE)
-}
-
+/// The interval at which stalled connections are closed while memory runs short.
+const MEMORY_RELIEF_INTERVAL: Duration = Duration::from_millis(5);
 /// The delay before accepting is retried after a fault that may persist: it doubles from the first
 /// value to the maximum. Clients that connect meanwhile wait, and their timeouts run.
 const MIN_ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(1);
@@ -69,6 +57,7 @@
     endpoint_connections: Rc<EndpointConnections>,
     settings: RefCell<DeploymentSettings>,
     executor: Executor,
+    memory: Rc<Memory>,
     /// The maximum number of open connections.
     max_connections: Cell<usize>,
     open: Cell<usize>,
@@ -88,19 +77,21 @@
 }
 
 impl Clients {
-    /// Creates the state without connections.
+    /// Creates the state without connections. What the connections hold is reserved in `memory`.
     pub fn new(
         sidecar: Rc<Sidecar>,
         endpoint_connections: Rc<EndpointConnections>,
         settings: DeploymentSettings,
         executor: Executor,
         max_connections: usize,
+        memory: Rc<Memory>,
     ) -> Rc<Clients> {
-        Rc::new(Clients {
+        let clients = Rc::new(Clients {
             sidecar,
             endpoint_connections,
             settings: settings.into(),
             executor,
+            memory,
             max_connections: Cell::new(max_connections),
             open: Cell::new(0),
             evictable: RefCell::default(),
@@ -112,7 +103,9 @@
             shutdown: Cell::new(None),
             closed: async_channel::bounded(1),
             stop_accepting: async_channel::bounded(1),
-        })
+        });
+        clients.executor.spawn(Clients::relieve_memory(Rc::downgrade(&clients))).detach();
+        clients
     }
 
     /// Accepts connections until [`Clients::stop_accepting`], then those that are still queued: they
@@ -255,7 +248,11 @@
     /// Handles a client's connection from its first byte to its close.
     async fn connection(self: Rc<Self>, stream: Async<TcpStream>) {
         let _ = stream.get_ref().set_nodelay(true);
-        match self.serve(&stream).await {
+        let mut connection = ClientConnection::new(stream, &self.memory);
+        let end = self.serve(&mut connection).await;
+        let ClientConnection { stream, reservation, .. } = connection;
+        reservation.shrink_to(CONNECTION_BYTES);
+        match end {
             ConnectionEnd::Close { last_response } => self.close_client(&stream, last_response).await,
             ConnectionEnd::Reset => {
                 let _ = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
@@ -264,17 +261,17 @@
     }
 
     /// Serves the requests of a connection until it is to end.
-    async fn serve(&self, stream: &Async<TcpStream>) -> ConnectionEnd {
-        let (mut buffer, mut last_response) = (Buffer::default(), None);
+    async fn serve(&self, connection: &mut ClientConnection) -> ConnectionEnd {
+        let mut last_response = None;
         let mut first_deadline = Some(Instant::now() + REQUEST_TIMEOUT);
-        while self.await_request(stream, &mut buffer, first_deadline).await {
+        while self.await_request(connection, first_deadline).await {
             let deadline = first_deadline.take().unwrap_or_else(|| Instant::now() + REQUEST_TIMEOUT);
-            let read = self.read_request(stream, &mut buffer, deadline);
-            let read = self.run_evictable(Stage::ReadingRequest, read).await;
-            let (answered, keep) = match read.unwrap_or(Err(Fault::Stalled)) {
+            let progress = connection.progress.clone();
+            let read = self.read_evictable(progress, connection.read_request(deadline)).await;
+            let (answered, keep) = match read.unwrap_or(Err(ReadFault::Message(Fault::Stalled))) {
                 Ok(Some((head, body))) => {
                     let keep = head.keeps_alive(&head.line[2]);
-                    (self.answer(stream, &mut buffer, head, body).await, keep)
+                    (self.answer(connection, head, body).await, keep)
                 }
                 Ok(None) => break,
                 Err(fault) => (take_in::unreadable_reply(&fault).map(Answered::Reply), false),
@@ -283,9 +280,10 @@
                 None => break,
                 Some(Answered::PassedOn { needs_reset: true, .. }) => return ConnectionEnd::Reset,
                 Some(Answered::PassedOn { keep, .. }) => keep && !self.is_draining(),
-                Some(Answered::Reply(reply)) => self.write_reply(stream, reply, keep).await,
+                Some(Answered::Reply(reply)) => self.write_reply(&connection.stream, reply, keep).await,
             };
             last_response = Some(Instant::now());
+            connection.release_request();
             if !keep {
                 break;
             }
@@ -311,45 +309,34 @@
     /// Waits for the first byte of a request; false when the connection is to close without one.
     async fn await_request(
         &self,
-        stream: &Async<TcpStream>,
-        buffer: &mut Buffer,
+        connection: &mut ClientConnection,
         first_deadline: Option<Instant>,
     ) -> bool {
-        if !buffer.is_empty() {
+        if !connection.buffer.is_empty() {
             return true;
         }
         let stage = if first_deadline.is_some() { Stage::New } else { Stage::Idle };
         let deadline = first_deadline.unwrap_or_else(|| Instant::now() + IDLE_TIMEOUT);
-        let mut reader = stream;
-        let received = super::with_deadline(deadline, buffer.fill(&mut reader));
+        let mut reader = &connection.stream;
+        let received = super::with_deadline(deadline, connection.buffer.fill(&mut reader));
         let received = self.run_evictable(stage, received).await;
         // Data that arrived while the close was being requested has reached this process and is
         // served.
         matches!(received, Some(Ok(n)) if n > 0)
-            || matches!(stream.get_ref().peek(&mut [0]), Ok(n) if n > 0)
+            || matches!(connection.stream.get_ref().peek(&mut [0]), Ok(n) if n > 0)
     }
 
-    /// Reads a request: the head by `deadline`, the body within a time of its own that grows with
-    /// its length.
-    async fn read_request(
-        &self,
-        stream: &Async<TcpStream>,
-        buffer: &mut Buffer,
-        deadline: Instant,
-    ) -> Result<Option<(Head, Vec<u8>)>, Fault> {
-        let mut reader = stream;
-        let head = async { Ok(http::read_head(buffer, &mut reader, http::begins_request).await) };
-        let Some(head) = super::with_deadline(deadline, head).await.unwrap_or(Err(Fault::Stalled))? else {
-            return Ok(None);
-        };
-        let framing = take_in::body_framing(&head)?;
-        if head.has("expect", "100-continue") && buffer.is_empty() {
-            crate::write_all(stream, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+    /// Closes connections that read a request and have stalled, for as long as memory runs short.
+    async fn relieve_memory(clients: Weak<Clients>) {
+        while let Some(memory) = clients.upgrade().map(|clients| clients.memory.clone()) {
+            memory.refusal().await;
+            let Some(clients) = clients.upgrade() else { return };
+            if clients.evict_stalled() {
+                tracing::warn!("closed a connection that had stalled: memory is short");
+            }
+            drop(clients);
+            Timer::after(MEMORY_RELIEF_INTERVAL).await;
         }
-        let body = async { Ok(read_body(buffer, &mut reader, framing, http::BODY_LIMIT).await) };
-        let body_deadline = deadline.max(Instant::now() + body_timeout(framing));
-        let body = super::with_deadline(body_deadline, body).await.unwrap_or(Err(Fault::Stalled))?;
-        Ok(Some((head, body)))
     }
 }
 
--- a/crates/net/src/clients/take_in.rs
+++ b/crates/net/src/clients/take_in.rs
@@ -1,18 +1,26 @@
 //! Request admission: validates a client's request and accepts it, or answers it locally.
 
+use super::read::{ReadFault, RequestBody};
 use super::relay::Reply;
-use crate::servers::OutgoingRequest;
+use crate::servers::{BodyRest, OutgoingRequest};
+use cottonpoint_codec::body::BodyReader;
 use cottonpoint_codec::http::{self, Fault, Framing, Head};
+use cottonpoint_core::LocalReply;
 use cottonpoint_decide::*;
 use cottonpoint_settings::DeploymentSettings;
 use std::fmt::Write;
 use std::time::Duration;
 
+/// When a client that was refused for want of memory should try again.
+pub(super) const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// A request that was accepted.
 #[derive(Debug)]
 pub struct AcceptedRequest {
     /// The class of the request.
     pub class: ClassId,
+    /// What happens when the request runs twice.
+    pub effect: Effect,
     /// The name of the class, as used in statistics.
     pub class_name: String,
     /// The tenant, if there is one.
@@ -26,7 +34,19 @@
 }
 
 /// The response to a request that could not be read; `None` where the connection is gone.
-pub fn unreadable_reply(fault: &Fault) -> Option<Reply> {
+pub(super) fn unreadable_reply(fault: &ReadFault) -> Option<Reply> {
+    match fault {
+        ReadFault::Message(fault) => invalid_reply(fault),
+        ReadFault::NoMemory => {
+            let refusal = Reply::local(LocalReply::Refused { retry_after: Some(MEMORY_RETRY_AFTER) });
+            Some(refusal.closing_connection())
+        }
+    }
+}
+
+/// The response to a request whose message is invalid or incomplete; `None` where the connection is
+/// gone.
+pub(super) fn invalid_reply(fault: &Fault) -> Option<Reply> {
     let status = match fault {
         Fault::Broken | Fault::ConnectionFailed => return None,
         Fault::Malformed(_) => 400,
@@ -59,10 +79,10 @@
 
 /// Accepts a request by its headers, or returns the local reply: 404 for an unknown class or path,
 /// 400 for an invalid header value.
-pub fn accept_request(
+pub(super) fn accept_request(
     settings: &DeploymentSettings,
     head: &Head,
-    body: Vec<u8>,
+    body: RequestBody,
 ) -> Result<AcceptedRequest, Reply> {
     let bad = |reason: &str| Err(Reply::text(400, reason));
     if let Some(name) = SINGLE_HEADERS.iter().find(|name| head.only(name).is_err()) {
@@ -112,10 +132,17 @@
         },
         None => class_settings.client_timeout,
     };
-    let outgoing = OutgoingRequest { head: forwarded_head(head, body.len()), body };
+    let rest = match body.rest.as_ref().map(BodyReader::remaining) {
+        None => BodyRest::None,
+        Some(None) => BodyRest::Chunked,
+        Some(Some(remaining)) => BodyRest::Length(remaining),
+    };
+    let outgoing =
+        OutgoingRequest { head: forwarded_head(head, body.held.len(), rest), body: body.held, rest };
     let class_name = settings.classes[class].clone();
     Ok(AcceptedRequest {
         class: ClassId(class as u16),
+        effect: class_settings.effect,
         class_name,
         tenant,
         id: id.to_owned(),
@@ -139,7 +166,7 @@
     "x-time-left-ms",
 ];
 
-fn forwarded_head(head: &Head, body: usize) -> String {
+fn forwarded_head(head: &Head, held: usize, rest: BodyRest) -> String {
     let mut forwarded = format!("{} {} HTTP/1.1\r\n", head.line[0], head.line[1]);
     for (name, value) in &head.headers {
         let not_forwarded = NOT_FORWARDED.iter().any(|n| name.eq_ignore_ascii_case(n));
@@ -147,8 +174,15 @@
             let _ = write!(forwarded, "{name}: {value}\r\n");
         }
     }
-    if body > 0 || head.line[0] == "POST" {
-        let _ = write!(forwarded, "Content-Length: {body}\r\n");
-    }
+    let length = match rest {
+        BodyRest::None => Some(held as u64),
+        BodyRest::Length(rest) => Some(held as u64 + rest),
+        BodyRest::Chunked => None,
+    };
+    let _ = match length {
+        None => write!(forwarded, "Transfer-Encoding: chunked\r\n"),
+        Some(0) if head.line[0] != "POST" => Ok(()),
+        Some(length) => write!(forwarded, "Content-Length: {length}\r\n"),
+    };
     forwarded
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clients;
 pub mod console;
 pub mod list;
+pub mod memory;
 mod origin;
 pub mod servers;
 
--- a/crates/net/src/servers/client.rs
+++ b/crates/net/src/servers/client.rs
@@ -32,6 +32,10 @@
     }
 }
 
+/// The rest of a long request cannot be had: it is invalid or incomplete, or its client has gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyFault;
+
 /// The head of an answer that is passed on as it arrives.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerStart {
@@ -46,6 +50,10 @@
     /// Whether the client still waits. Asked right before each write to the endpoint.
     fn waits(&self) -> bool;
 
+    /// The next piece of the rest of a long request; `None` at its end. Waits while the client does
+    /// not send.
+    fn next_body_piece(&self) -> impl Future<Output = Result<Option<Vec<u8>>, BodyFault>>;
+
     /// The last byte of the request has been written to the endpoint.
     fn request_written(&self);
 
--- a/crates/net/src/servers/mod.rs
+++ b/crates/net/src/servers/mod.rs
@@ -5,13 +5,14 @@
 mod send;
 mod write;
 
-pub use client::{AnswerStart, AttemptClient, ClientFault};
-pub use send::{AttemptEnd, EndpointResponse, OutgoingRequest};
+pub use client::{AnswerStart, AttemptClient, BodyFault, ClientFault};
+pub use send::{AttemptEnd, BodyRest, EndpointResponse, OutgoingRequest};
 
+use crate::memory::{Memory, Reservation, bound_socket_buffers};
 use async_executor::Task;
 use async_io::{Async, Timer};
 use cottonpoint_codec::buffer::Buffer;
-use cottonpoint_core::{EndpointAddress, Executor};
+use cottonpoint_core::{EndpointAddress, Executor, Purpose};
 use cottonpoint_decide::{EndpointId, Outcome};
 use cottonpoint_settings::ReportFields;
 use futures_lite::future;
@@ -32,6 +33,9 @@
 /// single one may be a slow request's.
 const SUSPECT_TIMEOUTS: u32 = 2;
 
+/// What an open connection holds in this process, in bytes: its buffer and its task's state.
+const CONNECTION_BYTES: usize = 10 << 10;
+
 /// The settings of the connection pool.
 #[derive(Clone, Debug)]
 pub struct PoolSettings {
@@ -41,6 +45,8 @@
     pub idle_timeout: Duration,
     /// The maximum number of connections, in use and idle.
     pub max_connections: usize,
+    /// The size of each of a connection's two buffers in the kernel, in bytes.
+    pub socket_buffer: usize,
     /// The positions of the values in a load report.
     pub fields: ReportFields,
     /// The names of the values in a load report.
@@ -53,6 +59,7 @@
     buffer: Buffer,
     address: SocketAddr,
     _guard: ConnectionGuard,
+    _reservation: Reservation,
 }
 
 /// Counts a connection for as long as it is open.
@@ -87,15 +94,17 @@
     consecutive_timeouts: RefCell<HashMap<EndpointId, u32>>,
     next_id: Cell<u64>,
     open: Rc<Cell<usize>>,
+    memory: Rc<Memory>,
     weak_self: Weak<EndpointConnections>,
 }
 
 impl EndpointConnections {
-    /// Creates an empty pool.
-    pub fn new(settings: PoolSettings, executor: Executor) -> Rc<EndpointConnections> {
+    /// Creates an empty pool. What its connections hold is reserved in `memory`.
+    pub fn new(settings: PoolSettings, executor: Executor, memory: Rc<Memory>) -> Rc<EndpointConnections> {
         Rc::new_cyclic(|weak_self| EndpointConnections {
             settings: settings.into(),
             executor,
+            memory,
             idle: RefCell::default(),
             consecutive_timeouts: RefCell::default(),
             next_id: Cell::new(0),
@@ -189,8 +198,16 @@
         let connect = Async::<TcpStream>::connect(endpoint.address);
         let stream = super::with_timeout(self.connect_timeout(), connect).await?;
         stream.get_ref().set_nodelay(true)?;
-        let (stream, buffer) = (Rc::new(stream), Buffer::default());
-        Ok(Connection { stream, buffer, address: endpoint.address, _guard: guard })
+        bound_socket_buffers(stream.get_ref(), self.settings.borrow().socket_buffer);
+        let reservation = self.memory.reservation();
+        reservation.try_grow(CONNECTION_BYTES, Purpose::Admitted);
+        Ok(Connection {
+            stream: Rc::new(stream),
+            buffer: Buffer::default(),
+            address: endpoint.address,
+            _guard: guard,
+            _reservation: reservation,
+        })
     }
 
     /// Closes the connection that has been idle for longest; false where there is none.
--- a/crates/net/src/servers/receive.rs
+++ b/crates/net/src/servers/receive.rs
@@ -5,10 +5,11 @@
 use super::send::EndpointResponse;
 use super::write::Progress;
 use super::{Connection, EndpointConnections};
+use crate::memory::Reservation;
 use crate::{with_deadline, with_timeout};
 use cottonpoint_codec::body::{BodyReader, read_body};
 use cottonpoint_codec::http::{self, AnswerHead, Fault, Framing};
-use cottonpoint_core::{AnswerHold, Attempt, HOLD_LIMIT_BYTES, HoldDecision};
+use cottonpoint_core::{AnswerHold, Attempt, HOLD_LIMIT_BYTES, HoldDecision, Purpose};
 use cottonpoint_decide::Outcome;
 use std::cell::Cell;
 use std::future::Future;
@@ -78,7 +79,8 @@
 /// An answer of an endpoint.
 pub(super) struct Answer {
     pub(super) head: AnswerHead,
-    pub(super) response: EndpointResponse,
+    /// The response to give to the client, if its status is 200.
+    pub(super) response: Option<EndpointResponse>,
 }
 
 /// Bounds a read that reports its own faults.
@@ -105,14 +107,19 @@
             let (buffer, mut stream) = (&mut connection.buffer, &*connection.stream);
             let limit = usize::try_from(HOLD_LIMIT_BYTES).unwrap_or(usize::MAX);
             let body = read_body(buffer, &mut stream, head.framing, limit);
-            let body = until(Instant::now() + HEAD_TIMEOUT, body).await?;
-            return Ok(Answer { head, response: EndpointResponse::whole(None, body) });
+            until(Instant::now() + HEAD_TIMEOUT, body).await?;
+            return Ok(Answer { head, response: None });
         }
         if matches!(head.framing, Framing::Length(n) if n as u64 > STREAM_LIMIT_BYTES) {
             return Err(AnswerFault::TooLong);
         }
-        let mut receiver =
-            Receiver { attempt, connection, body: BodyReader::new(head.framing), held: Vec::new() };
+        let mut receiver = Receiver {
+            attempt,
+            connection,
+            body: BodyReader::new(head.framing),
+            held: Vec::new(),
+            reservation: self.memory.reservation(),
+        };
         let start = AnswerStart {
             content_type: head.head.get("content-type").map(str::to_owned),
             length: match head.framing {
@@ -121,10 +128,14 @@
             },
         };
         let response = match receiver.hold(&start).await? {
-            Held::Whole => EndpointResponse::whole(start.content_type, receiver.held),
+            Held::Whole => EndpointResponse::Whole {
+                content_type: start.content_type,
+                body: receiver.held,
+                reservation: receiver.reservation,
+            },
             Held::PassOn => receiver.pass_on(start, client).await,
         };
-        Ok(Answer { head, response })
+        Ok(Answer { head, response: Some(response) })
     }
 }
 
@@ -159,8 +170,9 @@
     attempt: &'a Attempt,
     connection: &'a mut Connection,
     body: BodyReader,
-    /// What has been received and not been passed on.
+    /// What has been received and not been passed on, and the memory reserved for it.
     held: Vec<u8>,
+    reservation: Reservation,
 }
 
 impl Receiver<'_> {
@@ -188,12 +200,28 @@
                 Err(AnswerFault::Stalled) => continue,
                 Err(fault) => return Err(fault),
             };
-            self.held.extend_from_slice(&self.connection.buffer.filled()[..piece]);
-            self.body.consume(&mut self.connection.buffer, piece);
+            if !self.hold_piece(piece, start.length) {
+                return Ok(Held::PassOn);
+            }
             hold.receive(piece, attempt.now());
         }
     }
 
+    /// Holds the next piece of the body; false where there is no memory for it.
+    fn hold_piece(&mut self, piece: usize, declared: Option<u64>) -> bool {
+        if self.held.capacity() - self.held.len() < piece {
+            let whole = declared.and_then(|length| usize::try_from(length).ok());
+            let more = whole.unwrap_or(0).saturating_sub(self.held.len()).max(self.held.len()).max(piece);
+            if !self.reservation.try_grow(more, Purpose::HeldAnswer) {
+                return false;
+            }
+            self.held.reserve_exact(more);
+        }
+        self.held.extend_from_slice(&self.connection.buffer.filled()[..piece]);
+        self.body.consume(&mut self.connection.buffer, piece);
+        true
+    }
+
     /// Passes the answer on, from its first byte to its end or until it breaks.
     async fn pass_on(mut self, start: AnswerStart, client: &impl AttemptClient) -> EndpointResponse {
         let declared = start.length;
@@ -222,6 +250,7 @@
         client.pass_on(&held).await.map_err(AnswerFault::Client)?;
         *bytes += held.len() as u64;
         drop(held);
+        self.reservation.shrink_to(0);
         loop {
             let piece = async { Ok(self.next_piece().await) };
             let piece = with_timeout(STREAM_STALL_TIMEOUT, piece).await.unwrap_or(Err(Fault::Stalled))?;
--- a/crates/net/src/servers/send.rs
+++ b/crates/net/src/servers/send.rs
@@ -2,7 +2,8 @@
 
 use super::EndpointConnections;
 use super::client::AttemptClient;
-use super::write::{Progress, WriteError, connection_failure_outcome, serialize_head, write};
+use super::write::{Progress, WriteError, connection_failure_outcome, write_request};
+use crate::memory::Reservation;
 use async_io::Timer;
 use cottonpoint_codec::http::Head;
 use cottonpoint_core::{AbortReason, Attempt, Denial};
@@ -16,12 +17,24 @@
 pub struct OutgoingRequest {
     /// The request line and the forwarded headers, each line with its line ending.
     pub head: String,
-    /// The body.
+    /// The body, or its beginning.
     pub body: Vec<u8>,
+    /// What follows, which is written as it arrives from the client. It can be written once.
+    pub rest: BodyRest,
+}
+
+/// The rest of a request's body, which is not held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyRest {
+    /// There is none.
+    None,
+    /// So many bytes.
+    Length(u64),
+    /// An unknown number of bytes: the body is sent in chunks.
+    Chunked,
 }
 
 /// The answer of an endpoint to an attempt.
-#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EndpointResponse {
     /// It was held until it was whole.
     Whole {
@@ -29,6 +42,8 @@
         content_type: Option<String>,
         /// The body.
         body: Vec<u8>,
+        /// The memory reserved for the body.
+        reservation: Reservation,
     },
     /// It was passed on to the client as it arrived.
     PassedOn {
@@ -37,14 +52,7 @@
     },
 }
 
-impl EndpointResponse {
-    pub(super) fn whole(content_type: Option<String>, body: Vec<u8>) -> EndpointResponse {
-        EndpointResponse::Whole { content_type, body }
-    }
-}
-
 /// How an attempt ended.
-#[derive(Debug)]
 pub struct AttemptEnd {
     /// The outcome for the balancer.
     pub outcome: Outcome,
@@ -125,14 +133,10 @@
             Err(error) => return failed(connection_failure_outcome(&error)),
         };
         progress.set(Progress::NotStarted);
-        let head = serialize_head(request, attempt.deadline());
-        // Checked right before each write: a request that was not written completely was never
-        // executed, so it may be abandoned before any byte but the last.
-        let may_write = || attempt.may_write(progress.get().has_started(), client.waits(), handshake_time);
-        let on_started = || attempt.check_started();
-        match write(&connection, &head, &request.body, progress, may_write, on_started).await {
+        match write_request(attempt, &connection, request, progress, client, handshake_time).await {
             Ok(()) => progress.set(Progress::Written),
             Err(WriteError::ConnectionFailed(error)) => return failed(connection_failure_outcome(&error)),
+            Err(WriteError::BodyMissing) => return failed(Outcome::NotSent),
             Err(WriteError::Denied(denial)) => {
                 let endpoint_unwanted = matches!(denial, Denial::EndpointLeaving | Denial::EndpointGone);
                 if !progress.get().has_started() && !endpoint_unwanted {
@@ -141,7 +145,6 @@
                 return failed(denial.outcome());
             }
         }
-        drop(head);
         client.request_written();
         let answer = match self.receive(attempt, &mut connection, progress, client).await {
             Ok(answer) => answer,
@@ -149,19 +152,19 @@
         };
         let (head, response) = (answer.head, answer.response);
         let outcome = match (head.status, &response) {
-            (_, EndpointResponse::PassedOn { fault: Some(fault) }) => *fault,
+            (_, Some(EndpointResponse::PassedOn { fault: Some(fault) })) => *fault,
             (200, _) => Outcome::Ok,
             (503 | 504, _) if head.head.get("x-unprocessed") == Some("1") => Outcome::Rejected,
             _ => Outcome::Error,
         };
         // Data behind the response belongs to no request, and an endpoint that has been removed
         // needs no connections.
-        let is_complete = !matches!(response, EndpointResponse::PassedOn { fault: Some(_) });
+        let is_complete = !matches!(response, Some(EndpointResponse::PassedOn { fault: Some(_) }));
         let is_reusable = head.keep_alive && is_complete && connection.buffer.is_empty();
         if is_reusable && attempt.endpoint_takes_work() {
             self.return_idle(endpoint.id, connection);
         }
-        AttemptEnd { outcome, report: self.report(&head.head), response: Some(response) }
+        AttemptEnd { outcome, report: self.report(&head.head), response }
     }
 
     /// Parses the load report of a response; one that is invalid in any part is ignored.
--- a/crates/net/src/servers/write.rs
+++ b/crates/net/src/servers/write.rs
@@ -1,9 +1,10 @@
 //! Writes a request to an endpoint, and tracks how far it has come.
 
 use super::Connection;
-use super::send::OutgoingRequest;
+use super::client::AttemptClient;
+use super::send::{BodyRest, OutgoingRequest};
 use crate::origin::Origin;
-use cottonpoint_core::Denial;
+use cottonpoint_core::{Attempt, Denial};
 use cottonpoint_decide::Outcome;
 use futures_lite::{AsyncWrite, future};
 use std::cell::Cell;
@@ -71,11 +72,56 @@
     ConnectionFailed(io::Error),
     /// The guard denied it, or denied the rest of it.
     Denied(Denial),
+    /// The rest of a long request cannot be had from its client.
+    BodyMissing,
+}
+
+/// Writes a request. A long one is written as it arrives, so that it waits for the slower of client
+/// and endpoint.
+pub(super) async fn write_request(
+    attempt: &Attempt,
+    connection: &Connection,
+    request: &OutgoingRequest,
+    progress: &Cell<Progress>,
+    client: &impl AttemptClient,
+    handshake_time: Duration,
+) -> Result<(), WriteError> {
+    let head = serialize_head(request, attempt.deadline());
+    // Checked right before each write: a request that was not written completely was never
+    // executed, so it may be abandoned before any byte but the last.
+    let may_write = || attempt.may_write(progress.get().has_started(), client.waits(), handshake_time);
+    let on_started = || attempt.check_started();
+    if request.rest != BodyRest::Chunked {
+        write(connection, &head, &request.body, progress, may_write, on_started).await?;
+    } else {
+        write(connection, &head, &chunk(&request.body), progress, may_write, on_started).await?;
+    }
+    if request.rest == BodyRest::None {
+        return Ok(());
+    }
+    while let Some(piece) = client.next_body_piece().await.map_err(|_| WriteError::BodyMissing)? {
+        let bytes = if request.rest == BodyRest::Chunked { chunk(&piece) } else { piece };
+        write(connection, &[], &bytes, progress, may_write, on_started).await?;
+    }
+    if request.rest == BodyRest::Chunked {
+        write(connection, &[], LAST_CHUNK, progress, may_write, on_started).await?;
+    }
+    Ok(())
+}
+
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// A chunk with this data; nothing without data, since an empty chunk would be the last one.
+fn chunk(data: &[u8]) -> Vec<u8> {
+    if data.is_empty() {
+        return Vec::new();
+    }
+    [format!("{:x}\r\n", data.len()).as_bytes(), data, b"\r\n"].concat()
 }
 
 /// Writes the head and then the body, and checks `may_write` before each write; `on_started` is
 /// called once, when the first piece is written.
-pub(super) async fn write(
+async fn write(
     connection: &Connection,
     head: &[u8],
     body: &[u8],
@@ -113,7 +159,7 @@
 }
 
 /// The head of a request as it goes to an endpoint.
-pub(super) fn serialize_head(request: &OutgoingRequest, deadline: Instant) -> Vec<u8> {
+fn serialize_head(request: &OutgoingRequest, deadline: Instant) -> Vec<u8> {
     let left = deadline.saturating_duration_since(Instant::now());
     let mut head = String::with_capacity(request.head.len() + 64);
     head.push_str(&request.head);
--- a/crates/program/src/active.rs
+++ b/crates/program/src/active.rs
@@ -8,6 +8,7 @@
 use cottonpoint_decide::Discovery;
 use cottonpoint_net::clients::Clients;
 use cottonpoint_net::list::{DiscoveryAddress, NameTable};
+use cottonpoint_net::memory::Memory;
 use cottonpoint_net::servers::{EndpointConnections, PoolSettings};
 use std::rc::Rc;
 
@@ -27,6 +28,8 @@
     pub clients: Rc<Clients>,
     /// Endpoint connections.
     pub endpoint_connections: Rc<EndpointConnections>,
+    /// The account of memory.
+    pub memory: Rc<Memory>,
     /// The numbers of zones and machine kinds, shared with the endpoint list.
     pub names: NameTable,
     /// Receives each address of discovery that differs from the one before, in order.
@@ -50,6 +53,7 @@
             // Unbounded: it fails only once the watcher is gone.
             let _ = self.address_updates.try_send(address);
         }
+        self.memory.set_limit(config.memory_mb);
         self.clients.set_max_connections(connection_limits(&config).0);
         self.endpoint_connections.set_pool_settings(pool_settings(&config));
         tracing::info!("{}", self.config.apply(config));
@@ -65,6 +69,7 @@
         // request.
         idle_timeout: settings.conn_idle.mul_f64(0.7),
         max_connections: connection_limits(config).1,
+        socket_buffer: config.socket_buffer,
         fields: settings.fields.clone(),
         field_names: settings.field_names.clone(),
     }
--- a/crates/program/src/config.rs
+++ b/crates/program/src/config.rs
@@ -6,12 +6,20 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 
 /// Descriptors that are never used for client or endpoint connections: standard streams, the
 /// listener, discovery, signals and the event loop, and spare ones to reject clients.
 const RESERVED_DESCRIPTORS: usize = 24;
 const DEFAULT_SOCKETS: u64 = 1024;
+/// Memory of the sidecar in MB where the settings do not name it, and the least that they may name.
+const DEFAULT_MEMORY_MB: u64 = 192;
+const MIN_MEMORY_MB: u64 = 32;
+/// The sockets' buffers in the kernel may take this part of the memory, in each direction, if all
+/// are full; the size of each has bounds, in bytes.
+const SOCKET_BUFFERS_SHARE: u64 = 4;
+const SOCKET_BUFFER_BYTES: RangeInclusive<u64> = 20 << 10..=40 << 10;
 /// The program does not start with fewer descriptors.
 const MIN_SOCKETS: u64 = 96;
 
@@ -83,6 +91,20 @@
 #[serde(expecting = "an object")]
 struct Limits {
     sockets: Option<Sockets>,
+    memory_mb: Option<MemoryMb>,
+}
+
+#[derive(Deserialize)]
+#[serde(try_from = "u64")]
+struct MemoryMb(u64);
+
+impl TryFrom<u64> for MemoryMb {
+    type Error = String;
+
+    fn try_from(mb: u64) -> Result<Self, String> {
+        let accepted = (mb >= MIN_MEMORY_MB).then_some(MemoryMb(mb));
+        accepted.ok_or_else(|| format!("must be a whole number of at least {MIN_MEMORY_MB}: {mb}"))
+    }
 }
 
 #[derive(Deserialize)]
@@ -110,6 +132,13 @@
     }
 }
 
+/// The size of each of a socket's two buffers in the kernel, in bytes.
+fn socket_buffer(memory_mb: u64, sockets: u64) -> usize {
+    let share = memory_mb.saturating_mul(1 << 20) / (SOCKET_BUFFERS_SHARE * sockets);
+    let bytes = share.clamp(*SOCKET_BUFFER_BYTES.start(), *SOCKET_BUFFER_BYTES.end());
+    usize::try_from(bytes).unwrap_or(usize::MAX)
+}
+
 /// The configuration that a sidecar starts with.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -121,6 +150,10 @@
     pub discovery: SocketAddr,
     /// The seed of all random numbers.
     pub seed: u64,
+    /// Memory of the sidecar in MB, for all of its processes together.
+    pub memory_mb: usize,
+    /// The size of each of a socket's two buffers in the kernel, in bytes.
+    pub socket_buffer: usize,
     /// Maximum number of client connections.
     pub client_connections: usize,
     /// Maximum number of connections to endpoints.
@@ -158,7 +191,12 @@
             text.parse::<SocketAddr>()
                 .map_err(|_| config_error(key, format!("must be an address and port: {text}")))
         };
-        let sockets = file.limits.and_then(|limits| limits.sockets).map_or(DEFAULT_SOCKETS, |Sockets(n)| n);
+        let (sockets, memory_mb) = match file.limits {
+            Some(Limits { sockets, memory_mb }) => (sockets, memory_mb),
+            None => (None, None),
+        };
+        let sockets = sockets.map_or(DEFAULT_SOCKETS, |Sockets(n)| n);
+        let memory_mb = memory_mb.map_or(DEFAULT_MEMORY_MB, |MemoryMb(mb)| mb);
         let mut platform =
             file.settings.validate().map_err(|e| config_error(&format!("settings.{}", e.key), e.why))?;
         // On sockets any refusal may carry a Retry-After, whatever the simulator gives its clients.
@@ -190,6 +228,8 @@
             listen: address("listen", file.listen, "NODE_LISTEN")?,
             discovery: address("discovery", file.discovery, "NODE_DISCOVERY")?,
             seed: file.seed.map_or_else(|| fastrand::u64(..), |Seed(seed)| seed),
+            memory_mb: usize::try_from(memory_mb).unwrap_or(usize::MAX),
+            socket_buffer: socket_buffer(memory_mb, sockets),
             client_connections: available * 5 / 8,
             endpoint_connections: available * 3 / 8,
             known,
@@ -212,6 +252,8 @@
             restart_only.iter().filter(|(_, changed)| *changed).map(|(key, _)| *key).collect();
         self.discovery = new.discovery;
         self.platform = new.platform;
+        self.memory_mb = new.memory_mb;
+        self.socket_buffer = new.socket_buffer;
         self.client_connections = new.client_connections;
         self.endpoint_connections = new.endpoint_connections;
         let mut summary = format!("configuration reloaded; discovery at {}", self.discovery);
--- a/crates/program/src/metrics.rs
+++ b/crates/program/src/metrics.rs
@@ -6,6 +6,7 @@
 use cottonpoint_codec::http;
 use cottonpoint_core::Sidecar;
 use cottonpoint_net::clients::{Clients, LINGERING_TIMEOUT, close};
+use cottonpoint_net::memory::Memory;
 use cottonpoint_net::servers::EndpointConnections;
 use cottonpoint_net::{with_timeout, write_all};
 use futures_lite::future;
@@ -44,6 +45,8 @@
     pub clients: Rc<Clients>,
     /// Connections to endpoints.
     pub endpoint_connections: Rc<EndpointConnections>,
+    /// The account of memory.
+    pub memory: Rc<Memory>,
     /// The fleet membership, if it is on.
     pub fleet: Option<Rc<Membership>>,
 }
@@ -113,6 +116,12 @@
             );
         }
         registry.register("list_lease_seconds", "Time for which the list may still be used", seconds(left));
+        let (budget, reserved, peak) = self.memory.figures();
+        registry.register("memory_budget_bytes", "Memory that may be reserved", gauge(budget));
+        registry.register("memory_reserved_bytes", "Memory reserved for messages", gauge(reserved));
+        registry.register("memory_reserved_peak_bytes", "Most memory ever reserved", gauge(peak));
+        let refusals = family(&mut self.memory.refusals().into_iter());
+        registry.register("memory_refusals", "Reservations of memory refused, by purpose", refusals);
         registry.register("client_connections", "Open client connections", gauge(self.clients.open()));
         registry.register(
             "target_connections",
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -14,6 +14,7 @@
 use cottonpoint_mesh::Command;
 use cottonpoint_net::clients::Clients;
 use cottonpoint_net::list::{NameTable, Watcher};
+use cottonpoint_net::memory::{Memory, bound_socket_buffers};
 use cottonpoint_net::servers::EndpointConnections;
 use futures_lite::{Stream, StreamExt, future};
 use std::cell::Cell;
@@ -108,7 +109,10 @@
     let (sidecar, list_requests) =
         Sidecar::new(names.balancer_settings(&settings), config.seed, clock, executor.clone());
     sidecar.set_drain_grace(settings.drain_grace);
-    let endpoint_connections = EndpointConnections::new(pool_settings(&config), executor.clone());
+    let memory = Memory::new(config.memory_mb);
+    let endpoint_connections =
+        EndpointConnections::new(pool_settings(&config), executor.clone(), memory.clone());
+    bound_socket_buffers(&listener, config.socket_buffer);
     match &config.known {
         Some(known) => sidecar.apply_list(ListKind::Full, &known.entries(&names).records),
         None => sidecar.start_without_list(),
@@ -131,6 +135,7 @@
         settings,
         executor.clone(),
         connection_limits(&config).0,
+        memory.clone(),
     );
     let accept = executor.spawn(clients.clone().accept(Async::new(listener)?));
     let pid_file = config.state_dir.as_deref().map(PidFile::new);
@@ -175,6 +180,7 @@
         sidecar: sidecar.clone(),
         clients: clients.clone(),
         endpoint_connections: endpoint_connections.clone(),
+        memory: memory.clone(),
         fleet: fleet.clone(),
     };
     let _metrics_task = metrics.map(|listener| executor.spawn(metrics_server.serve(listener)));
@@ -185,6 +191,7 @@
         sidecar,
         clients: clients.clone(),
         endpoint_connections,
+        memory,
         names,
         address_updates,
     };
--- a/crates/program/tests/operator.rs
+++ b/crates/program/tests/operator.rs
@@ -125,10 +125,19 @@
     let page = std::iter::repeat_with(|| request(metrics, "GET /metrics HTTP/1.1\nHost: n0\n\n"));
     let page = { page }.find(|page| page.contains("client_connections 1\n")).expect("at last");
     let lines = page.lines().filter(|line| line.starts_with("cottonpoint_"));
+    let (bytes, lines): (Vec<&str>, Vec<&str>) = lines.partition(|line| line.contains("_bytes "));
+    let lines = lines.into_iter();
     let (durations, mut counted): (Vec<&str>, Vec<&str>) =
         lines.partition(|line| line.contains("_seconds "));
     counted.sort_unstable();
     assert_snapshot!(counted.join("\n"));
+    // What is reserved belongs to the two connections that are open.
+    let bytes: Vec<usize> = bytes
+        .iter()
+        .map(|line| line.rsplit_once(' ').expect("a figure").1.parse().expect("bytes"))
+        .collect();
+    let [budget, reserved, peak] = bytes[..] else { panic!("{bytes:?}") };
+    assert!(0 < reserved && reserved <= peak && peak < 1 << 20 && budget > 32 << 20, "{bytes:?}");
     // The list was never confirmed, so it has no age. It is the initial one, with a lease of 6 s
     // and 0.3 s of grace.
     let lease = durations.iter().map(|line| line.rsplit_once(' ').expect("a figure"));
