--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -24,5 +24,6 @@
 mod program;
 mod reloads;
 mod retries;
+mod returning_ids;
 mod shared_state;
 mod stop;
