Remember ids that may have run, and share them with the other process of an upgrade

Cause: an id was known only while its request was open (open_ids); when the client left, the id was forgotten although its attempt may have run.

Change: an id is remembered from the last byte of its first attempt on, the newest 16,384 of them (core/src/executed_ids.rs, without I/O). By its class, a request with such an id is served (safe; keyed in all endpoints within its window) or answered 409, as for the id of an open request. For classes that must not run twice the ids stand also in cottonpoint-ids.bin in the state directory, a hash table of 128 KiB that both processes read and write directly, so the other one knows an id at once. An id that never ran is not remembered. Limits: where the file cannot be read or written, each process knows its own; two writers in one bucket within microseconds may lose one entry.

--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -18,7 +18,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use cottonpoint_codec::http::Fault;
-use cottonpoint_core::{Executor, Shutdown, Sidecar};
+use cottonpoint_core::{ExecutedIds, Executor, Shutdown, Sidecar};
 use cottonpoint_settings::DeploymentSettings;
 use eviction::{
     ConnectionGuard, DRAIN_INTERVAL, EVICT_AT_MAXIMUM, EVICT_EARLY, EVICT_IN_DRAIN, Evictable, Stage,
@@ -51,6 +51,15 @@
 const MIN_ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(1);
 const MAX_ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Ids of requests that may have run, shared by the processes of the sidecar.
+pub trait SharedIds {
+    /// Adds an id.
+    fn insert(&self, id: u64);
+
+    /// Whether any process has added the id.
+    fn contains(&self, id: u64) -> bool;
+}
+
 /// The state shared by all client connections.
 pub struct Clients {
     sidecar: Rc<Sidecar>,
@@ -63,6 +72,9 @@
     open: Cell<usize>,
     /// The connections without an open request, in the order in which they entered their stages.
     evictable: RefCell<BTreeMap<u64, Evictable>>,
+    /// The ids of requests that may have run: those of this process, and those of all.
+    executed_ids: RefCell<ExecutedIds>,
+    shared_ids: Option<Box<dyn SharedIds>>,
     /// The ids of the open requests.
     open_ids: RefCell<HashSet<String>>,
     next_id: Cell<u64>,
@@ -77,7 +89,8 @@
 }
 
 impl Clients {
-    /// Creates the state without connections. What the connections hold is reserved in `memory`.
+    /// Creates the state without connections. What the connections hold is reserved in `memory`;
+    /// `shared_ids` are those of all processes of the sidecar, if they share any.
     pub fn new(
         sidecar: Rc<Sidecar>,
         endpoint_connections: Rc<EndpointConnections>,
@@ -85,6 +98,7 @@
         executor: Executor,
         max_connections: usize,
         memory: Rc<Memory>,
+        shared_ids: Option<Box<dyn SharedIds>>,
     ) -> Rc<Clients> {
         let clients = Rc::new(Clients {
             sidecar,
@@ -95,6 +109,8 @@
             max_connections: Cell::new(max_connections),
             open: Cell::new(0),
             evictable: RefCell::default(),
+            executed_ids: RefCell::default(),
+            shared_ids,
             open_ids: RefCell::default(),
             next_id: Cell::new(0),
             scarce: Cell::new(false),
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod orders;
 pub mod pid_file;
 pub mod serve;
+pub mod shared_ids;
 pub mod state;
 pub mod taken_out;
 
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -6,13 +6,14 @@
 use crate::fleet::Membership;
 use crate::metrics::MetricsServer;
 pub use crate::pid_file::PidFile;
+use crate::shared_ids::IdFile;
 use crate::taken_out::DisabledEndpoints;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use cottonpoint_core::{Clock, Executor, Sidecar};
 use cottonpoint_decide::ListKind;
 use cottonpoint_mesh::Command;
-use cottonpoint_net::clients::Clients;
+use cottonpoint_net::clients::{Clients, SharedIds};
 use cottonpoint_net::list::{NameTable, Watcher};
 use cottonpoint_net::memory::{Memory, bound_socket_buffers};
 use cottonpoint_net::servers::EndpointConnections;
@@ -20,6 +21,7 @@
 use std::cell::Cell;
 use std::io;
 use std::net::TcpListener;
+use std::path::Path;
 use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
@@ -136,6 +138,7 @@
         executor.clone(),
         connection_limits(&config).0,
         memory.clone(),
+        config.state_dir.as_deref().and_then(open_shared_ids),
     );
     let accept = executor.spawn(clients.clone().accept(Async::new(listener)?));
     let pid_file = config.state_dir.as_deref().map(PidFile::new);
@@ -261,6 +264,17 @@
     Ok(())
 }
 
+/// Opens the file of ids that may have run. Without it each process knows those of its own.
+fn open_shared_ids(state_dir: &Path) -> Option<Box<dyn SharedIds>> {
+    match IdFile::open(state_dir) {
+        Ok(file) => Some(Box::new(file)),
+        Err(why) => {
+            tracing::warn!(%why, "ids that may have run are not shared with other processes");
+            None
+        }
+    }
+}
+
 /// Announces this process to the older one beside it, with retries until the write succeeds. This
 /// takes a thread of its own, since the disk may take seconds and clients connect from the first
 /// moment. The thread ends after that, or with the process.
