Tests of endpoints that are replaced at their address, one of two failing

After a restart of an endpoint (same id and address, a new startedAtMs), the next request goes out on the connection kept from before, whose process is still there: the test of it fails. Another endpoint at the same address gets a connection of its own: that test passes.

--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -23,6 +23,7 @@
 mod memory;
 mod program;
 mod reloads;
+mod replaced_endpoints;
 mod retries;
 mod returning_ids;
 mod shared_state;
