Tie connections and attempts to one start of an endpoint, not to its address

What callers saw: after an endpoint's restart at its address, requests went to the process before, or ended as resets that may have run, as long as a kept connection to it stayed open.

Cause: the pool knew a connection by the endpoint's id and address, which both stay the same over a restart; startedAtMs went to the balancer alone.

Change: EndpointAddress carries the start. A kept connection is used, and an attempt begun, only for the listed start; the news closes kept connections of earlier ones, and ends attempts that have not begun. Outcomes of an earlier start do not count against the new one in the pool.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -98,7 +98,7 @@
             request_open,
             repeatable,
             deadline: self.deadline_time(),
-            endpoint: sidecar.core.borrow().endpoint_list.standing(self.endpoint.id),
+            endpoint: sidecar.core.borrow().endpoint_list.standing(self.endpoint),
             list_valid: sidecar.lease.borrow().is_valid(now),
         };
         sidecar.guard.may_write(now, facts).inspect_err(|denial| self.log_denial(*denial, facts))
@@ -136,9 +136,9 @@
         }
     }
 
-    /// Whether the endpoint still accepts new attempts.
+    /// Whether the endpoint still accepts new attempts, and has not been restarted.
     pub fn endpoint_takes_work(&self) -> bool {
-        self.sidecar.takes_work(self.endpoint.id)
+        self.sidecar.is_active(self.endpoint)
     }
 
     /// Reports the outcome to the balancer. Returns whether this attempt's answer is the one to
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -51,7 +51,7 @@
 struct RequestState {
     decisions: Sender<Decision>,
     /// For each attempt, the channel that aborts it and the endpoint it goes to.
-    attempts: Vec<(Sender<AbortReason>, EndpointId)>,
+    attempts: Vec<(Sender<AbortReason>, Option<EndpointAddress>)>,
     /// When the client stops waiting for the answer, if its last byte had arrived at the admission.
     deadline: Time,
     admitted_at: Time,
@@ -248,8 +248,8 @@
     /// Aborts each attempt that has not started if its endpoint accepts no new attempts.
     fn abort_unwanted(&self) {
         for entry in self.requests.values() {
-            if let Some((abort, endpoint)) = entry.attempts.last()
-                && !self.endpoint_list.takes_work(*endpoint)
+            if let Some((abort, Some(endpoint))) = entry.attempts.last()
+                && !self.endpoint_list.is_active(*endpoint)
             {
                 let _ = abort.try_send(AbortReason::Unavailable);
             }
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -1,7 +1,7 @@
 //! The endpoint list in the core: updates from discovery, endpoints taken offline by an operator,
 //! and the lease that limits how long the list may be used.
 
-use super::{EndpointList, EndpointRecord, PollEvent, Sidecar, UnknownEndpoint};
+use super::{EndpointAddress, EndpointList, EndpointRecord, PollEvent, Sidecar, UnknownEndpoint};
 use async_io::Timer;
 use cottonpoint_decide::*;
 use futures_lite::future;
@@ -177,6 +177,11 @@
         self.core.borrow().endpoint_list.takes_work(endpoint)
     }
 
+    /// Whether this start of an endpoint is the listed one and accepts new attempts.
+    pub fn is_active(&self, endpoint: EndpointAddress) -> bool {
+        self.core.borrow().endpoint_list.is_active(endpoint)
+    }
+
     /// Takes an endpoint offline (`offline`) or puts it back online. An offline endpoint gets no
     /// new attempts, and an attempt that has not started is aborted. The balancer sees a drain or a
     /// return of the endpoint.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -103,7 +103,7 @@
         return Some(Event::Finished { id, attempt, endpoint, outcome, closed: true, elapsed, report });
     };
     let number = u8::try_from(entry.attempts.len()).unwrap_or(u8::MAX);
-    entry.attempts.push((abort, endpoint));
+    entry.attempts.push((abort, address));
     let Some(address) = address else {
         let (outcome, elapsed) = (Outcome::ConnectFailed, Duration::ZERO);
         let (attempt, closed, report) = (number, entry.closed, None);
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -6,13 +6,16 @@
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// An endpoint as an attempt needs it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// One start of an endpoint, as attempts and connections refer to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct EndpointAddress {
     /// Identity of the endpoint.
     pub id: EndpointId,
     /// Address that it listens on.
     pub address: SocketAddr,
+    /// Which start of it this is: the Unix time in milliseconds of the list. Another process may
+    /// listen at the same address later.
+    pub started_at_ms: u64,
 }
 
 /// Life-cycle state of an endpoint according to the list.
@@ -114,7 +117,16 @@
 
     /// Identity and address of a listed endpoint.
     pub fn find(&self, id: EndpointId) -> Option<EndpointAddress> {
-        self.by_id.get(&id).map(|t| EndpointAddress { id, address: t.record.address })
+        self.by_id.get(&id).map(|entry| EndpointAddress {
+            id,
+            address: entry.record.address,
+            started_at_ms: entry.record.started_at_ms,
+        })
+    }
+
+    /// Whether this start of an endpoint is the listed one and accepts new attempts.
+    pub fn is_active(&self, endpoint: EndpointAddress) -> bool {
+        self.standing(endpoint) == EndpointStanding::Active
     }
 
     /// Effective state of an endpoint: that of the list, unless it has been taken offline.
@@ -127,9 +139,12 @@
         })
     }
 
-    /// Status of an endpoint as the guard sees it.
-    pub fn standing(&self, id: EndpointId) -> EndpointStanding {
-        match self.lifecycle(id) {
+    /// Status of one start of an endpoint as the guard sees it.
+    pub fn standing(&self, endpoint: EndpointAddress) -> EndpointStanding {
+        if self.find(endpoint.id) != Some(endpoint) {
+            return EndpointStanding::Unlisted;
+        }
+        match self.lifecycle(endpoint.id) {
             Some(Lifecycle::Active) => EndpointStanding::Active,
             Some(Lifecycle::Leaving) => EndpointStanding::Leaving,
             Some(Lifecycle::Left) | None => EndpointStanding::Unlisted,
@@ -233,3 +248,6 @@
         self.balancer_endpoint(&entry)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/net/src/list/update.rs
+++ b/crates/net/src/list/update.rs
@@ -37,7 +37,7 @@
         }
         let started_at = self.sidecar.clock().now() - took;
         self.sidecar.apply_answer(kind, &records, started_at);
-        self.endpoint_connections.retain_idle(|endpoint| self.sidecar.takes_work(endpoint));
+        self.endpoint_connections.retain_idle(|endpoint| self.sidecar.is_active(endpoint));
     }
 
     /// Interprets the answer to a poll that asked for changes since `from_generation`;
@@ -96,7 +96,7 @@
         );
         self.generation = Some(generation);
         self.sidecar.apply_list(kind, &records);
-        self.endpoint_connections.retain_idle(|endpoint| self.sidecar.takes_work(endpoint));
+        self.endpoint_connections.retain_idle(|endpoint| self.sidecar.is_active(endpoint));
     }
 
     /// Reports an answer to a superseded poll that could not be applied.
--- a/crates/net/src/servers/mod.rs
+++ b/crates/net/src/servers/mod.rs
@@ -19,7 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::{self, Read};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
@@ -57,7 +57,8 @@
 struct Connection {
     stream: Rc<Async<TcpStream>>,
     buffer: Buffer,
-    address: SocketAddr,
+    /// The start of the endpoint that it was made to.
+    endpoint: EndpointAddress,
     _guard: ConnectionGuard,
     _reservation: Reservation,
 }
@@ -91,7 +92,7 @@
     executor: Executor,
     idle: RefCell<HashMap<EndpointId, Vec<IdleConnection>>>,
     /// The number of consecutive attempts per endpoint that timed out without a response.
-    consecutive_timeouts: RefCell<HashMap<EndpointId, u32>>,
+    consecutive_timeouts: RefCell<HashMap<EndpointAddress, u32>>,
     next_id: Cell<u64>,
     open: Rc<Cell<usize>>,
     memory: Rc<Memory>,
@@ -132,16 +133,19 @@
         self.settings.borrow().max_connections
     }
 
-    /// Closes the idle connections to endpoints that are no longer wanted.
-    pub fn retain_idle(&self, wanted: impl Fn(EndpointId) -> bool) {
-        self.idle.borrow_mut().retain(|&id, _| wanted(id));
-        self.consecutive_timeouts.borrow_mut().retain(|&id, _| wanted(id));
+    /// Closes the idle connections to starts of endpoints that are no longer wanted.
+    pub fn retain_idle(&self, wanted: impl Fn(EndpointAddress) -> bool) {
+        self.idle.borrow_mut().retain(|_, pool| {
+            pool.retain(|idle| wanted(idle.connection.endpoint));
+            !pool.is_empty()
+        });
+        self.consecutive_timeouts.borrow_mut().retain(|endpoint, _| wanted(*endpoint));
     }
 
     /// Records whether an endpoint responded. A machine that is cut off from the network leaves its
     /// connections open and silent, and each would cost a whole timeout to detect; a new connection
     /// fails at once.
-    fn record_outcome(&self, endpoint: EndpointId, outcome: Outcome) {
+    fn record_outcome(&self, endpoint: EndpointAddress, outcome: Outcome) {
         match outcome {
             Outcome::Ok | Outcome::Error | Outcome::Rejected => {
                 self.consecutive_timeouts.borrow_mut().remove(&endpoint);
@@ -151,7 +155,7 @@
                 let count = consecutive_timeouts.entry(endpoint).or_default();
                 *count += 1;
                 if *count >= SUSPECT_TIMEOUTS {
-                    self.idle.borrow_mut().remove(&endpoint);
+                    self.idle.borrow_mut().remove(&endpoint.id);
                 }
             }
             _ => {}
@@ -181,7 +185,7 @@
             // The timeout may have become shorter since the connection was returned.
             let has_expired = idle.idle_since + self.settings.borrow().idle_timeout <= now;
             let connection = idle.connection;
-            if !has_expired && connection.address == endpoint.address && is_open(&connection.stream) {
+            if !has_expired && connection.endpoint == endpoint && is_open(&connection.stream) {
                 return Some(connection);
             }
         }
@@ -204,7 +208,7 @@
         Ok(Connection {
             stream: Rc::new(stream),
             buffer: Buffer::default(),
-            address: endpoint.address,
+            endpoint,
             _guard: guard,
             _reservation: reservation,
         })
@@ -221,7 +225,8 @@
     }
 
     /// Returns a connection to the pool for the next attempt.
-    fn return_idle(&self, endpoint: EndpointId, connection: Connection) {
+    fn return_idle(&self, connection: Connection) {
+        let endpoint = connection.endpoint.id;
         let id = self.next_id.get();
         self.next_id.set(id + 1);
         let (weak_self, stream, idle_timeout) =
--- a/crates/net/src/servers/receive.rs
+++ b/crates/net/src/servers/receive.rs
@@ -231,7 +231,7 @@
             Ok(()) => EndpointResponse::PassedOn { fault: None },
             Err(fault) => {
                 let reason = fault.name();
-                let endpoint = self.connection.address;
+                let endpoint = self.connection.endpoint.address;
                 self.attempt.record_cut(reason);
                 tracing::warn!(%endpoint, reason, bytes, declared, "an answer was cut off while it was passed on");
                 EndpointResponse::PassedOn { fault: Some(fault.outcome()) }
--- a/crates/net/src/servers/send.rs
+++ b/crates/net/src/servers/send.rs
@@ -105,7 +105,7 @@
         let exchange = self.exchange(attempt, request, &progress, client);
         let ended = future::or(exchange, future::or(halted, timeout)).await;
         if attempt.endpoint_takes_work() {
-            self.record_outcome(attempt.endpoint.id, ended.outcome);
+            self.record_outcome(attempt.endpoint, ended.outcome);
         }
         ended
     }
@@ -140,7 +140,7 @@
             Err(WriteError::Denied(denial)) => {
                 let endpoint_unwanted = matches!(denial, Denial::EndpointLeaving | Denial::EndpointGone);
                 if !progress.get().has_started() && !endpoint_unwanted {
-                    self.return_idle(endpoint.id, connection); // Nothing was written: it can be reused.
+                    self.return_idle(connection); // Nothing was written: it can be reused.
                 }
                 return failed(denial.outcome());
             }
@@ -162,7 +162,7 @@
         let is_complete = !matches!(response, Some(EndpointResponse::PassedOn { fault: Some(_) }));
         let is_reusable = head.keep_alive && is_complete && connection.buffer.is_empty();
         if is_reusable && attempt.endpoint_takes_work() {
-            self.return_idle(endpoint.id, connection);
+            self.return_idle(connection);
         }
         AttemptEnd { outcome, report: self.report(&head.head), response }
     }
