Lose log lines on a broken standard error in place of a panic; floods on one connection

What operators would see: a process that ends with exit code 101 where nobody reads its standard error any more. Cause: eprintln! panics when its write fails; it stood in the notice of suppressed lines, which the process writes while it serves, and in the error of a bad start. Change: one function that ignores the failure. Evidence: broken_standard_error_causes_no_panic got 101 before and gets 1; tracing's own writer ignores such failures already.

--- a/crates/program/src/bin/cottonpoint-adapter/main.rs
+++ b/crates/program/src/bin/cottonpoint-adapter/main.rs
@@ -135,7 +135,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(Malformed(reason)) => {
-            eprintln!("cottonpoint-adapter: {reason}");
+            cottonpoint::log::write_line(&format!("cottonpoint-adapter: {reason}"));
             ExitCode::FAILURE
         }
     }
--- a/crates/program/src/cli.rs
+++ b/crates/program/src/cli.rs
@@ -162,7 +162,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("cottonpoint: {error}");
+            log::write_line(&format!("cottonpoint: {error}"));
             ExitCode::FAILURE
         }
     }
--- a/crates/program/src/log.rs
+++ b/crates/program/src/log.rs
@@ -2,6 +2,7 @@
 
 use crate::operator::{LogConfig, LogFormat};
 use std::collections::HashMap;
+use std::io::Write;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use tracing::callsite::Identifier;
@@ -72,13 +73,19 @@
             Some(suppressed) => {
                 // Not written by tracing: the map is locked, and this line must not be rate-limited
                 // itself.
-                eprintln!("cottonpoint: {suppressed} lines like the next were suppressed");
+                write_line(&format!("cottonpoint: {suppressed} lines like the next were suppressed"));
                 true
             }
         }
     }
 }
 
+/// Writes a line to standard error. Where nobody reads it any more the line is lost; `eprintln!` would
+/// panic.
+pub fn write_line(line: &str) {
+    let _ = writeln!(std::io::stderr(), "{line}");
+}
+
 /// Installs the subscriber that writes log lines to standard error, as configured. Later calls
 /// change nothing.
 pub fn start(log: &LogConfig) {
--- a/crates/program/tests/sidecar/floods.rs
+++ b/crates/program/tests/sidecar/floods.rs
@@ -83,3 +83,63 @@
     assert!(served >= 50, "{served} in 5 s");
     assert!(program.peak_kb() < 96 << 10, "{} kB", program.peak_kb());
 }
+
+/// How long one client floods.
+const FLOOD_TIME: Duration = Duration::from_secs(3);
+
+/// Writes what `message` gives for ever new numbers, on one connection for as long as it stays open,
+/// without reading faster than the answers come. Returns the number of messages.
+fn flood_on_one_connection(address: SocketAddr, message: fn(u64) -> String) -> u64 {
+    let (start, mut number) = (Instant::now(), 0);
+    while start.elapsed() < FLOOD_TIME {
+        let mut stream = TcpStream::connect(address).expect("it listens");
+        stream.set_write_timeout(Some(FLOOD_TIME)).expect("a socket");
+        let mut answers = stream.try_clone().expect("a descriptor");
+        let reads = thread::spawn(move || std::io::copy(&mut answers, &mut std::io::sink()));
+        let mut written = Ok(());
+        while written.is_ok() && start.elapsed() < FLOOD_TIME {
+            let batch: String = (number..number + 50).map(message).collect();
+            number += 50;
+            written = stream.write_all(batch.replace('\n', "\r\n").as_bytes());
+        }
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+        let _ = reads.join();
+    }
+    number
+}
+
+/// Guards against one client that sends small or unsound requests on one connection at full speed,
+/// also under ever new names, and so delays the answers of others or makes memory grow.
+#[test]
+fn flood_on_one_connection_delays_nobody_and_fills_nothing() {
+    let floods: [fn(u64) -> String; 5] = [
+        |_| "GET /health/ready HTTP/1.1\nHost: n0\n\n".to_owned(),
+        |number| LOOK.replace("c1", &format!("flood{number}")),
+        |number| format!("GET /class{number} HTTP/1.1\nHost: n0\n\n"),
+        |number| LOOK.replace("north", &format!("account{number}")).replace("c1", &number.to_string()),
+        |number| format!("noise{number}\n"),
+    ];
+    for flood in floods {
+        let (endpoint, discovery) = (ScriptedServer::new(), ScriptedServer::new());
+        let known = list_json(1, true, &[instance_json("t0", endpoint.address, "active")]);
+        let config = config_json(discovery.address, &known, 256).replace("400000000", "60000000000");
+        let program = Program::start(&config, 256);
+        let _requests = endpoint.echo_requests();
+        let address = program.address;
+        let flooder = thread::spawn(move || flood_on_one_connection(address, flood));
+        let start = Instant::now();
+        let (mut longest, mut asked) = (Duration::ZERO, 0);
+        while start.elapsed() < FLOOD_TIME {
+            let began = Instant::now();
+            let answer = read_message(&mut program.client(&LOOK.replace("c1", &format!("calm{asked}"))));
+            // The endpoint is shared with the flood, so a request may be refused.
+            assert!(answer.starts_with("HTTP/1.1 200") || answer.starts_with("HTTP/1.1 503"), "{answer}");
+            longest = longest.max(began.elapsed());
+            asked += 1;
+            thread::sleep(Duration::from_millis(20));
+        }
+        assert!(flooder.join().expect("it does not panic") > 1000, "a flood");
+        assert!(longest < Duration::from_secs(1) && asked > 20, "{longest:?}, {asked}");
+        assert!(program.peak_kb() < 24 << 10, "{} kB", program.peak_kb());
+    }
+}
--- a/crates/program/tests/sidecar/lifecycle.rs
+++ b/crates/program/tests/sidecar/lifecycle.rs
@@ -4,7 +4,9 @@
 use crate::program::create_pipe;
 use cottonpoint::serve::PidFile;
 use insta::assert_snapshot;
+use std::net::TcpStream;
 use std::path::Path;
+use std::process::Command;
 
 /// Guards against a sidecar that starts without a list and never requests one (the balancer's first
 /// timer was set only with its first event), readiness before the list is there, and answers lost
@@ -62,3 +64,47 @@
     assert!(requests.recv().expect("an attempt").starts_with("GET /look"));
     sidecar.stop_and_join();
 }
+
+/// Guards against a panic where nobody reads the log any more: the error of a bad start ends in its
+/// exit code, and a running process goes on.
+#[test]
+fn broken_standard_error_causes_no_panic() {
+    let broken = || {
+        let (reader, writer) = std::io::pipe().expect("a pipe");
+        drop(reader);
+        writer
+    };
+    let bad_start = Command::new(env!("CARGO_BIN_EXE_cottonpoint"))
+        .args(["serve", "--config", "/nonexistent.json"])
+        .stderr(broken())
+        .status();
+    assert_eq!(bad_start.expect("it starts").code(), Some(1));
+    let (_, address) = listen();
+    let (endpoint, discovery) = (ScriptedServer::new(), ScriptedServer::new());
+    let known = list_json(1, true, &[instance_json("t0", endpoint.address, "active")]);
+    let config = config_json(discovery.address, &known, 1024);
+    let config = config.replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{address}\""));
+    let dir = tempfile::tempdir().expect("a directory");
+    let file = dir.path().join("config.json");
+    std::fs::write(&file, config).expect("a file");
+    let mut process = Command::new(env!("CARGO_BIN_EXE_cottonpoint"))
+        .args(["serve", "--config"])
+        .arg(&file)
+        .stderr(broken())
+        .spawn()
+        .expect("it starts");
+    let _requests = endpoint.echo_requests();
+    let connect = || TcpStream::connect(address).ok();
+    let mut clients = std::iter::repeat_with(connect).flatten();
+    for _ in 0..40 {
+        // Each invalid request is a warning.
+        let mut client = clients.next().expect("it listens");
+        send(&mut client, "noise\n\n");
+        assert!(read_message(&mut client).starts_with("HTTP/1.1 400"));
+    }
+    let mut client = clients.next().expect("it listens");
+    send(&mut client, LOOK);
+    assert!(read_message(&mut client).starts_with("HTTP/1.1 200"));
+    process.kill().expect("it runs");
+    process.wait().expect("it ends");
+}
