Write an id that may have run with one system call

Each request of an unsafe class read its bucket of cottonpoint-ids.bin twice and wrote it once. Now the process keeps the next place of each bucket and writes eight bytes.

--- a/crates/program/src/shared_ids.rs
+++ b/crates/program/src/shared_ids.rs
@@ -1,12 +1,12 @@
 //! The ids of requests that may have run, shared by the processes of the sidecar through a file of
 //! fixed size in the state directory. An id is found at once by the other process of an upgrade.
 //!
-//! The file is a hash table: buckets of eight ids, newest first. Nothing is synced: the file matters
+//! The file is a hash table: buckets of eight ids, which are replaced in turn. Nothing is synced: the file matters
 //! while two processes run, which share what the system holds of it. Where reads or writes fail, each
 //! process still knows the ids of its own.
 
 use cottonpoint_net::clients::SharedIds;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fs::{File, OpenOptions};
 use std::io;
 use std::os::unix::fs::FileExt;
@@ -17,11 +17,13 @@
 const ID_BYTES: usize = size_of::<u64>();
 const BUCKET_BYTES: usize = BUCKET_IDS * ID_BYTES;
 /// Number of buckets: 16,384 ids, 128 KiB.
-const BUCKETS: u64 = 2048;
+const BUCKETS: usize = 2048;
 
 /// The file of ids.
 pub struct IdFile {
     file: File,
+    /// For each bucket, the place of the next id that this process adds.
+    next_places: RefCell<Vec<u8>>,
     /// Whether the last access failed; logged when it changes.
     failing: Cell<bool>,
 }
@@ -39,37 +41,34 @@
             .create(true)
             .truncate(false)
             .open(state_dir.join(Self::FILE_NAME))?;
-        file.set_len(BUCKETS * BUCKET_BYTES as u64)?;
-        Ok(IdFile { file, failing: Cell::new(false) })
+        file.set_len((BUCKETS * BUCKET_BYTES) as u64)?;
+        Ok(IdFile { file, next_places: RefCell::new(vec![0; BUCKETS]), failing: Cell::new(false) })
     }
 
-    fn bucket_offset(id: u64) -> u64 {
-        id % BUCKETS * BUCKET_BYTES as u64
+    fn bucket(id: u64) -> usize {
+        (id % BUCKETS as u64) as usize
     }
 
     fn read_bucket(&self, id: u64) -> io::Result<[u64; BUCKET_IDS]> {
         let mut bytes = [0; BUCKET_BYTES];
-        self.file.read_exact_at(&mut bytes, Self::bucket_offset(id))?;
+        self.file.read_exact_at(&mut bytes, (Self::bucket(id) * BUCKET_BYTES) as u64)?;
         let mut ids = [0; BUCKET_IDS];
         for (id, bytes) in ids.iter_mut().zip(bytes.chunks_exact(ID_BYTES)) {
-            *id = bytes.iter().rev().fold(0, |id, byte| id << 8 | u64::from(*byte));
+            *id = bytes.try_into().map_or(0, u64::from_le_bytes);
         }
         Ok(ids)
     }
 
-    /// Puts an id at the front of its bucket; the oldest one is dropped.
-    fn push(&self, id: u64) -> io::Result<()> {
-        let mut ids = self.read_bucket(id)?;
-        if ids.contains(&id) {
-            return Ok(());
-        }
-        ids.rotate_right(1);
-        ids[0] = id;
-        let mut bytes = [0; BUCKET_BYTES];
-        for (bytes, id) in bytes.chunks_exact_mut(ID_BYTES).zip(ids) {
-            bytes.copy_from_slice(&id.to_le_bytes());
-        }
-        self.file.write_all_at(&bytes, Self::bucket_offset(id))
+    /// Writes an id into its bucket, in place of the one that this process added there longest ago.
+    fn write(&self, id: u64) -> io::Result<()> {
+        let bucket = Self::bucket(id);
+        let place = {
+            let next = &mut self.next_places.borrow_mut()[bucket];
+            let place = usize::from(*next) % BUCKET_IDS;
+            *next = next.wrapping_add(1);
+            place
+        };
+        self.file.write_all_at(&id.to_le_bytes(), (bucket * BUCKET_BYTES + place * ID_BYTES) as u64)
     }
 
     fn note_result<T>(&self, result: io::Result<T>) -> Option<T> {
@@ -85,7 +84,7 @@
 
 impl SharedIds for IdFile {
     fn insert(&self, id: u64) {
-        let _ = self.note_result(self.push(id));
+        let _ = self.note_result(self.write(id));
     }
 
     fn contains(&self, id: u64) -> bool {
