Soak: slow readers and writers, half and long messages, floods, returning ids, low memory

Half of the runs now have 250 clients that read or write slowly, stop halfway or send two requests at once, six long requests and answers each, six ids that return and a flood, at 64, 96 or 192 MB and 1,024 descriptors. Two invariants are new: Memory (each process stays under half of the limit) and LongMessages (answered, not rejected, not cut off while the endpoint writes); NotRepeated holds ids that return. The other faults of a seed are as before.

--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -4,11 +4,12 @@
 use super::addresses;
 use super::discovery::reset;
 use super::plan::Behaviour;
+use super::pressure::discard_body;
 use super::records::*;
 use crate::live::{CountGuard, Executor};
 use async_executor::Task;
 use async_io::{Async, Timer};
-use cottonpoint_codec::body::read_body;
+use cottonpoint_codec::body::BodyReader;
 use cottonpoint_codec::buffer::Buffer;
 use cottonpoint_codec::http::{self, Framing, Head};
 use futures_lite::{AsyncWriteExt, future};
@@ -31,6 +32,11 @@
 /// How long a request hangs; bounded so that the run ends.
 const HANG_TIME: Duration = Duration::from_secs(20);
 const SLOW_FACTOR: f64 = 5.0;
+/// The end of a path whose answer is long, and the pieces of that answer.
+pub const LONG_SEGMENT: &str = "long";
+const LONG_ANSWER_PIECES: usize = 20;
+const LONG_ANSWER_PIECE_BYTES: usize = 10 << 10;
+const LONG_ANSWER_INTERVAL: Duration = Duration::from_millis(40);
 const FOLLOW_UP_DELAY: Duration = Duration::from_millis(4);
 
 /// A running process of an endpoint.
@@ -129,7 +135,7 @@
             attempt.record_head(&head);
             let framing = http::framing(&head, &head.line[2], Framing::Length(0));
             let Ok(framing) = framing else { return Ok(()) };
-            if read_body(&mut buffer, &mut reader, framing, http::BODY_LIMIT).await.is_err() {
+            if discard_body(BodyReader::new(framing), &mut buffer, &mut reader).await.is_err() {
                 return Ok(());
             }
             attempt.mark_received();
@@ -190,6 +196,13 @@
             Behaviour::NoContentLength => {
                 self.write_without_content_length(stream, &body).await.map(|()| false)
             }
+            Behaviour::Serves | Behaviour::Slow if head.line[1].ends_with(LONG_SEGMENT) => {
+                let written = self.write_long_answer(stream).await;
+                if written.is_err() {
+                    attempt.mark_cut();
+                }
+                written.map(|()| true)
+            }
             _ => {
                 self.write_answer(stream, "200 OK", "", &body).await?;
                 if behaviour == Behaviour::AnswersTwice {
@@ -222,6 +235,26 @@
         stream.write_all(answer.as_bytes()).await
     }
 
+    /// Sends a long answer in pieces, by its length or in chunks.
+    async fn write_long_answer(&self, mut stream: &Async<TcpStream>) -> io::Result<()> {
+        let chunked = self.random.borrow_mut().bool();
+        let framing = match chunked {
+            true => "Transfer-Encoding: chunked".to_owned(),
+            false => format!("Content-Length: {}", LONG_ANSWER_PIECES * LONG_ANSWER_PIECE_BYTES),
+        };
+        stream.write_all(format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").as_bytes()).await?;
+        let data = "z".repeat(LONG_ANSWER_PIECE_BYTES);
+        let piece = if chunked { format!("{LONG_ANSWER_PIECE_BYTES:x}\r\n{data}\r\n") } else { data };
+        for _ in 0..LONG_ANSWER_PIECES {
+            stream.write_all(piece.as_bytes()).await?;
+            Timer::after(LONG_ANSWER_INTERVAL).await;
+        }
+        if chunked {
+            stream.write_all(b"0\r\n\r\n").await?;
+        }
+        Ok(())
+    }
+
     /// Sends an answer that ends with its connection. With probability one half, the answer is cut
     /// short and the connection is reset. A clean close would make the partial answer a complete
     /// one, so the reset is set up before anything is sent: the connection may be dropped at any
@@ -277,6 +310,7 @@
             ended: None,
             time_left: None,
             rejected: false,
+            cut: None,
         };
         OpenAttempt { endpoint, attempt: attempt.into() }
     }
@@ -292,6 +326,10 @@
         self.attempt.borrow_mut().received = Some(self.endpoint.run_start.elapsed());
     }
 
+    fn mark_cut(&self) {
+        self.attempt.borrow_mut().cut = Some(self.endpoint.run_start.elapsed());
+    }
+
     fn mark_rejected(&self) {
         self.attempt.borrow_mut().rejected = true;
     }
--- a/crates/lab/src/soak/member.rs
+++ b/crates/lab/src/soak/member.rs
@@ -23,8 +23,6 @@
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout for queries to the console and the metrics.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(3);
-/// Maximum number of socket descriptors of a process.
-const MAX_SOCKETS: u32 = 160;
 /// The library that injects faults into system calls; `cargo build --workspace` puts it beside the
 /// executables.
 const SHIM_FILE: &str = "libcottonpoint_shim.so";
@@ -75,7 +73,7 @@
         let known_list: Option<Value> = known_list.map(serde_json::from_str).transpose()?;
         let configuration = json!({
             "name": format!("p{slot}"), "listen": listen, "console": listen,
-            "discovery": discovery[0].to_string(), "limits": { "sockets": MAX_SOCKETS },
+            "discovery": discovery[0].to_string(), "limits": { "sockets": plan.sockets, "memory_mb": plan.memory_mb },
             "known": known_list, "settings": settings(plan, slot),
         });
         fs::write(&config_path, configuration.to_string())?;
@@ -228,6 +226,12 @@
         self.console
     }
 
+    /// The most memory that the process has held, in kB; `None` if it has ended.
+    pub fn peak_kb(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process.id())).ok()?;
+        status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?.split_whitespace().next()?.parse().ok()
+    }
+
     /// The address of the metrics.
     pub fn metrics(&self) -> SocketAddr {
         self.metrics
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -15,6 +15,7 @@
 pub mod oracle;
 pub mod plan;
 pub mod play;
+pub mod pressure;
 pub mod records;
 pub mod report;
 
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -12,6 +12,7 @@
 mod invariant;
 mod notification;
 mod orders;
+mod pressure;
 #[cfg(test)]
 mod tests;
 
@@ -69,6 +70,9 @@
         oracle.check_bad_clients(),
         oracle.check_members(),
         oracle.check_orders(),
+        oracle.check_memory(),
+        oracle.check_long_messages(),
+        oracle.check_returned_ids(),
     ]
     .concat();
     violations.sort_by_key(|violation| violation.at);
--- a/crates/lab/src/soak/oracle/invariant.rs
+++ b/crates/lab/src/soak/oracle/invariant.rs
@@ -33,11 +33,15 @@
     /// An endpoint taken offline by an operator stays offline, also for the next process in the
     /// same slot.
     StaysOut,
+    /// No process holds more memory than its part of the limit.
+    Memory,
+    /// Long requests and answers pass, and what an endpoint still gives is not cut off.
+    LongMessages,
 }
 
 impl Invariant {
     /// All invariants.
-    pub const ALL: [Invariant; 13] = [
+    pub const ALL: [Invariant; 15] = [
         Invariant::Answered,
         Invariant::Genuine,
         Invariant::NotRepeated,
@@ -51,6 +55,8 @@
         Invariant::NoPanic,
         Invariant::Guard,
         Invariant::StaysOut,
+        Invariant::Memory,
+        Invariant::LongMessages,
     ];
 }
 
--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -44,6 +44,19 @@
         ended: Some(started + ms(30)),
         time_left: Some((ms(10_000) + CLIENT_TIMEOUT).saturating_sub(started)),
         rejected: false,
+        cut: None,
+    }
+}
+
+fn long_exchange() -> LongExchange {
+    LongExchange {
+        id: "m0-long".to_owned(),
+        member: 0,
+        began: ms(10_000),
+        ended: ms(11_000),
+        written: true,
+        status: Some(200),
+        whole: true,
     }
 }
 
@@ -138,10 +151,42 @@
         assert_violates(Invariant::StaysOut, |records| {
             records.orders.push(order(0, true, 8000));
         }),
+        assert_violates(Invariant::Memory, |records| records.members[0].peak_kb = 1),
+        assert_violates(Invariant::LongMessages, |records| {
+            records.pressure.exchanges.push(LongExchange { status: Some(413), ..long_exchange() });
+        }),
     ];
     assert_eq!(violated, Invariant::ALL);
 }
 
+/// Guards against overlooking an answer that was cut off, one that never came, and an id that ran
+/// again when it returned; and against reporting what a process may do that ends.
+#[test]
+fn cut_answers_and_returned_ids_are_violations() {
+    let with_exchange = |exchange: LongExchange, cut: Option<Timestamp>| {
+        let mut records = good_records();
+        records.attempts.push(Attempt { id: exchange.id.clone(), cut, ..attempt(0, ms(10_010)) });
+        records.pressure.exchanges.push(exchange);
+        records
+    };
+    assert_eq!(violated_invariants(&with_exchange(long_exchange(), None)), []);
+    let broken = LongExchange { whole: false, ..long_exchange() };
+    assert_eq!(violated_invariants(&with_exchange(broken.clone(), None)), [], "its endpoint broke");
+    let mut cut = with_exchange(broken, Some(ms(10_500)));
+    assert_eq!(violated_invariants(&cut), [Invariant::LongMessages]);
+    cut.members[0].terminated = Some(ms(12_000));
+    assert_eq!(violated_invariants(&cut), [], "its process ends");
+    let silent = LongExchange { status: None, ..long_exchange() };
+    assert_eq!(violated_invariants(&with_exchange(silent, None)), [Invariant::LongMessages]);
+    let mut returned = good_records();
+    returned.pressure.returned_ids.push("m0-returns".to_owned());
+    let ran = |started| Attempt { id: "m0-returns".to_owned(), ..attempt(0, started) };
+    returned.attempts.push(ran(ms(10_100)));
+    assert_eq!(violated_invariants(&returned), []);
+    returned.attempts.push(ran(ms(10_400)));
+    assert_eq!(violated_invariants(&returned), [Invariant::NotRepeated]);
+}
+
 /// Guards against treating a process that is not notified in time as notified too early, or never.
 #[test]
 fn change_counts_as_notified_six_seconds_after_discovery_is_reachable() {
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -6,6 +6,7 @@
 mod tests;
 
 use super::classes::ClassList;
+use super::pressure::PressureKind;
 use super::records::Timestamp;
 use std::fmt;
 use std::time::Duration;
@@ -177,6 +178,8 @@
     ClientsDisconnect(usize),
     /// Clients that stop in the middle of a request connect to a process and stay connected.
     BadClients(usize),
+    /// Clients put pressure on a process: they read or write slowly, stop, flood, or return.
+    Pressure(usize, PressureKind),
     /// A process is told by a console command to take an endpoint offline.
     TakeOffline(usize, usize),
 }
@@ -233,6 +236,10 @@
     pub first_classes: ClassList,
     /// Whether an agent pushes the list, rather than the processes asking for it.
     pub pushed: bool,
+    /// The memory of a sidecar in MB, and the descriptors of a process, as the settings name them.
+    pub memory_mb: u64,
+    /// The descriptors of a process.
+    pub sockets: u32,
     /// For each slot of the fleet, whether its processes are started without a list.
     pub without_known_list: Vec<bool>,
     /// For each process, the faults that the shim injects, if any.
--- a/crates/lab/src/soak/plan/draw.rs
+++ b/crates/lab/src/soak/plan/draw.rs
@@ -1,6 +1,7 @@
 //! Draws a plan from its seed.
 
 mod lists;
+mod pressure;
 mod series;
 
 use super::{Behaviour, DiscoveryCondition, Event, Plan, ScheduledEvent, ShimFaults, WatchFault};
@@ -44,6 +45,8 @@
             client_timeouts,
             first_classes: ClassList::FIRST,
             pushed: false,
+            memory_mb: pressure::USUAL_MEMORY_MB,
+            sockets: pressure::USUAL_SOCKETS,
             without_known_list: vec![false; members],
             shims: Vec::new(),
             events: Vec::new(),
@@ -59,6 +62,7 @@
         builder.draw_lists(quiet_until);
         builder.draw_class_series();
         builder.draw_upgrades();
+        builder.draw_pressure(quiet_until);
         let mut plan = builder.plan;
         let last = plan.length;
         plan.events.retain(|scheduled| scheduled.at < last);
--- a/crates/lab/src/soak/plan/tests.rs
+++ b/crates/lab/src/soak/plan/tests.rs
@@ -99,3 +99,19 @@
     }
     assert!(count(&|event| matches!(event, Event::EndUpgrade(_))) >= 50);
 }
+
+/// Guards against runs without clients that put pressure on a process, and against a kind or a limit
+/// that no seed draws.
+#[test]
+fn half_of_the_plans_have_pressure_of_each_kind() {
+    let plans = plans();
+    let under_pressure: Vec<_> = plans.iter().filter(|plan| plan.sockets == 1024).collect();
+    assert!((100..200).contains(&under_pressure.len()), "{}", under_pressure.len());
+    for plan in &under_pressure {
+        let kinds = plan.events.iter().filter(|scheduled| matches!(scheduled.event, Event::Pressure(..)));
+        assert_eq!(kinds.count(), PressureKind::ALL.len(), "seed {}", plan.seed);
+    }
+    for memory_mb in [64, 96, 192] {
+        assert!(under_pressure.iter().any(|plan| plan.memory_mb == memory_mb), "{memory_mb}");
+    }
+}
--- a/crates/lab/src/soak/play.rs
+++ b/crates/lab/src/soak/play.rs
@@ -13,6 +13,7 @@
 use super::endpoint::Endpoint;
 use super::member::{ProcessSetup, RunningProcess};
 use super::plan::{Event, Plan, Side};
+use super::pressure::{Pressure, PressureKind};
 use super::records::*;
 use crate::live::Executor;
 use async_executor::LocalExecutor;
@@ -66,6 +67,8 @@
     all_clients: RefCell<Vec<Rc<Clients>>>,
     changes: RefCell<Vec<Change>>,
     orders: RefCell<Vec<EndpointOrder>>,
+    pressure: Rc<RefCell<PressureRecords>>,
+    pressure_events: Cell<usize>,
     timer_lateness: Cell<Duration>,
     finished: Cell<bool>,
 }
@@ -106,6 +109,8 @@
         all_clients: RefCell::default(),
         changes: RefCell::default(),
         orders: RefCell::default(),
+        pressure: Rc::default(),
+        pressure_events: Cell::new(0),
         timer_lateness: Cell::default(),
         finished: Cell::new(false),
         plan: plan.clone(),
@@ -147,6 +152,7 @@
             silent_watches: self.discovery.silent_watches.take(),
             pushed: self.plan.pushed,
             orders: self.orders.take(),
+            pressure: self.pressure.take(),
             polls: self.discovery.polls.get(),
             timer_lateness: self.timer_lateness.get(),
             ..Records::default()
@@ -196,6 +202,9 @@
             let member = Member {
                 name: format!("p{slot}.{}", self.slots[*slot].incarnation.get()),
                 file_writes_fail_until: self.file_writes_fail_until(*slot),
+                // The two processes of an upgrade share the limit.
+                memory_limit_kb: (self.plan.memory_mb << 10) / 2,
+                has_shim: self.plan.shims[*slot].is_some(),
                 ..Member::default()
             };
             self.members.borrow_mut().push(member);
@@ -306,6 +315,7 @@
             Event::BadClients(slot) => self.with_clients(slot, |clients, executor| {
                 executor.spawn(clients.start_bad_clients(executor.clone())).detach();
             }),
+            Event::Pressure(slot, kind) => self.start_pressure(slot, kind),
             Event::TakeOffline(slot, endpoint) => {
                 let this = self.clone();
                 self.executor
@@ -316,6 +326,22 @@
         Ok(())
     }
 
+    fn start_pressure(&self, slot: usize, kind: PressureKind) {
+        let number = self.pressure_events.replace(self.pressure_events.get() + 1);
+        self.with_clients(slot, |clients, executor| {
+            let pressure = Pressure {
+                kind,
+                address: clients.address,
+                member: self.slots[slot].member.get(),
+                client_timeouts: self.plan.client_timeouts,
+                run_start: self.run_start,
+                number,
+                records: self.pressure.clone(),
+            };
+            pressure.start(executor);
+        });
+    }
+
     fn with_clients(&self, slot: usize, act: impl FnOnce(Rc<Clients>, &Executor)) {
         let clients = self.slots[slot].clients.borrow().clone();
         if let Some(clients) = clients {
--- a/crates/lab/src/soak/play/stops.rs
+++ b/crates/lab/src/soak/play/stops.rs
@@ -76,6 +76,7 @@
 
     /// Records what a process has counted, while it still answers.
     async fn record_counts(&self, member: usize, running: &RunningProcess) {
+        self.members.borrow_mut()[member].peak_kb = running.peak_kb().unwrap_or_default();
         if let Ok((guard_violations, list_expiries)) = member::guard_counts(running.metrics()).await {
             let record = &mut self.members.borrow_mut()[member];
             record.guard_violations = Some(guard_violations);
--- a/crates/lab/src/soak/records.rs
+++ b/crates/lab/src/soak/records.rs
@@ -79,6 +79,36 @@
     pub time_left: Option<Duration>,
     /// Whether the endpoint rejected it unprocessed.
     pub rejected: bool,
+    /// When the process closed the connection while the endpoint still wrote a long answer.
+    pub cut: Option<Timestamp>,
+}
+
+/// A request with a long body or for a long answer, as its client saw it.
+#[derive(Clone, Debug)]
+pub struct LongExchange {
+    /// The request's id.
+    pub id: String,
+    /// Index of the process that it was sent to.
+    pub member: usize,
+    /// When its first byte was written.
+    pub began: Timestamp,
+    /// When it ended.
+    pub ended: Timestamp,
+    /// Whether its last byte could be written.
+    pub written: bool,
+    /// The status of the answer; `None` if there was none.
+    pub status: Option<u16>,
+    /// Whether the answer is whole.
+    pub whole: bool,
+}
+
+/// What the clients recorded that put pressure on a process.
+#[derive(Clone, Debug, Default)]
+pub struct PressureRecords {
+    /// The exchanges of long messages.
+    pub exchanges: Vec<LongExchange>,
+    /// The ids of unsafe requests that returned.
+    pub returned_ids: Vec<String>,
 }
 
 /// One process of the program.
@@ -99,6 +129,12 @@
     pub guard_violations: Option<BTreeMap<String, u64>>,
     /// Lines of its log that report a panic.
     pub panics: Vec<String>,
+    /// The most memory that it has held, in kB, as far as it was asked.
+    pub peak_kb: u64,
+    /// The memory that it may hold, in kB.
+    pub memory_limit_kb: u64,
+    /// Whether faults are injected into its system calls.
+    pub has_shim: bool,
     /// Number of times that its list expired.
     pub list_expiries: u64,
     /// Until when writes to its files fail.
@@ -213,6 +249,8 @@
     pub silent_watches: Vec<SilentWatch>,
     /// Bad clients.
     pub bad_clients: Vec<BadClient>,
+    /// What the clients recorded that put pressure on a process.
+    pub pressure: PressureRecords,
     /// Console commands on endpoints.
     pub orders: Vec<EndpointOrder>,
     /// Counts of polls.
--- a/crates/lab/src/soak/report.rs
+++ b/crates/lab/src/soak/report.rs
@@ -20,10 +20,14 @@
     let all = polls.answered.count + polls.rejected + polls.failed;
     let goodput = if all == 0 { 1.0 } else { polls.answered.count as f64 / all as f64 };
     let orders = records.orders.iter().filter(|order| order.confirmed.is_some()).count();
+    let (long, returned) = (records.pressure.exchanges.len(), records.pressure.returned_ids.len());
+    let peak_mb = records.members.iter().map(|member| member.peak_kb >> 10).max().unwrap_or_default();
+    let limit_mb = plan.memory_mb;
     let list_expiries: u64 = records.members.iter().map(|member| member.list_expiries).sum();
     format!(
         "seed {}: {} processes of {} members, {} requests, {} served, {} refused, {} failed, {} left; {} attempts; polls {} \
          answered, {} rejected, {} in outages (goodput {goodput:.2}); lists expired {list_expiries} times; {orders} orders; \
+         {long} long messages, {returned} ids returned, peak {peak_mb} MB of {limit_mb} MB for two processes; \
          stand-ins late by {:?} at most; {} breaches\n",
         plan.seed,
         records.members.len(),
