--- a/crates/program/src/shared_ids.rs
+++ b/crates/program/src/shared_ids.rs
@@ -50,8 +50,16 @@
     }
 
     fn read_bucket(&self, id: u64) -> io::Result<[u64; BUCKET_IDS]> {
-        let mut bytes = [0; BUCKET_BYTES];
-        self.file.read_exact_at(&mut bytes, (Self::bucket(id) * BUCKET_BYTES) as u64)?;
+        let (mut bytes, mut read) = ([0; BUCKET_BYTES], 0);
+        // A file that is too short holds nothing behind its end.
+        while read < BUCKET_BYTES {
+            match self.file.read_at(&mut bytes[read..], (Self::bucket(id) * BUCKET_BYTES + read) as u64) {
+                Ok(0) => break,
+                Ok(n) => read += n,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
         let mut ids = [0; BUCKET_IDS];
         for (id, bytes) in ids.iter_mut().zip(bytes.chunks_exact(ID_BYTES)) {
             *id = bytes.try_into().map_or(0, u64::from_le_bytes);
