Leave memory for messages beside connections, down to the least limit of 32 MB

Cause: each connection reserved 10 to 12 KiB in the account of messages, so that some 500 of them took all of it.

Change: connections have a part of their own, 45% of the memory for those of clients and 22% for those to endpoints; where descriptors would allow more, they are fewer (351 and 206 at 32 MB; unchanged from 64 on with 1,024 descriptors). Messages have the rest, 2 MB at least. The baseline outside of the account is 6 MB in place of 9: the process took 4 MB beside it.

Test memory_is_bounded_at_the_least_limit is new.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,7 +29,7 @@
 pub use guard::{AttemptFacts, Denial, EndpointStanding, Guard, Violation};
 pub use lease::{Lease, PollEvent};
 pub use list::MAX_ANSWER_TRANSIT;
-pub use memory::{MemoryAccount, Purpose};
+pub use memory::{ConnectionLimits, MemoryAccount, Purpose};
 pub use route::{AbortReason, Decision, LocalReply};
 pub use stop::Shutdown;
 pub use targets::{EndpointAddress, EndpointList, EndpointRecord, Lifecycle, UnknownEndpoint, endpoint_id};
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -6,7 +6,7 @@
 const MIB: usize = 1 << 20;
 /// Memory of the process, in MiB, that is not in the account: the program itself, the endpoint list
 /// and its parsing, files in the state directory.
-const BASELINE_MIB: usize = 9;
+const BASELINE_MIB: usize = 6;
 /// The processes of an upgrade share one limit, and each keeps within its part all the time: the
 /// newer one needs its own from its first connection on.
 const PROCESSES_OF_AN_UPGRADE: usize = 2;
@@ -16,6 +16,47 @@
 /// The least budget, in MiB: with less, no request could be served.
 const MIN_BUDGET_MIB: usize = 2;
 
+/// What an open connection holds without a message, in bytes: an empty buffer and its task's state.
+const CLIENT_CONNECTION_BYTES: usize = 12 << 10;
+const ENDPOINT_CONNECTION_BYTES: usize = 10 << 10;
+/// The part of a process's memory, in percent, that connections to clients and to endpoints may take.
+const CLIENT_CONNECTIONS_PERCENT: usize = 45;
+const ENDPOINT_CONNECTIONS_PERCENT: usize = 22;
+
+/// Numbers of connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// The most connections from clients.
+    pub clients: usize,
+    /// The most connections to endpoints.
+    pub endpoints: usize,
+}
+
+impl ConnectionLimits {
+    /// These limits, or fewer where the memory of a sidecar in MiB has no room for as many.
+    pub fn within_memory(self, limit_mib: usize) -> ConnectionLimits {
+        let available = available_bytes(limit_mib) / 100;
+        let clients = available.saturating_mul(CLIENT_CONNECTIONS_PERCENT) / CLIENT_CONNECTION_BYTES;
+        let endpoints = available.saturating_mul(ENDPOINT_CONNECTIONS_PERCENT) / ENDPOINT_CONNECTION_BYTES;
+        ConnectionLimits {
+            clients: self.clients.min(clients.max(1)),
+            endpoints: self.endpoints.min(endpoints.max(1)),
+        }
+    }
+
+    /// What so many connections hold without a message, in bytes.
+    fn bytes(self) -> usize {
+        self.clients * CLIENT_CONNECTION_BYTES + self.endpoints * ENDPOINT_CONNECTION_BYTES
+    }
+}
+
+/// The memory of one process, in bytes, that connections and messages may take.
+fn available_bytes(limit_mib: usize) -> usize {
+    let own = limit_mib / PROCESSES_OF_AN_UPGRADE;
+    let available = own.saturating_sub(BASELINE_MIB).max(MIN_BUDGET_MIB);
+    available.saturating_mul(MIB) / 100 * USABLE_PERCENT
+}
+
 /// What bytes are held for, in the order in which it gives way when memory runs short.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Purpose {
@@ -27,14 +68,12 @@
     HeldAnswer,
     /// A request that is about to be admitted.
     Admission,
-    /// A connection, or what a request needs that has been admitted.
-    Admitted,
 }
 
 impl Purpose {
     /// All purposes, in the order of their discriminants.
-    pub const ALL: [Purpose; 5] =
-        [Purpose::Pipelined, Purpose::Reading, Purpose::HeldAnswer, Purpose::Admission, Purpose::Admitted];
+    pub const ALL: [Purpose; 4] =
+        [Purpose::Pipelined, Purpose::Reading, Purpose::HeldAnswer, Purpose::Admission];
 
     /// Name in metrics.
     pub fn name(self) -> &'static str {
@@ -43,7 +82,6 @@
             Purpose::Reading => "reading",
             Purpose::HeldAnswer => "held_answer",
             Purpose::Admission => "admission",
-            Purpose::Admitted => "admitted",
         }
     }
 
@@ -53,8 +91,7 @@
             Purpose::Pipelined => 30,
             Purpose::Reading => 55,
             Purpose::HeldAnswer => 65,
-            Purpose::Admission => 90,
-            Purpose::Admitted => usize::MAX,
+            Purpose::Admission => 100,
         }
     }
 }
@@ -69,25 +106,24 @@
 }
 
 impl MemoryAccount {
-    /// An account for a process of a sidecar that may have `limit_mib` MiB in all.
-    pub fn new(limit_mib: usize) -> MemoryAccount {
+    /// An account for a process of a sidecar that may have `limit_mib` MiB in all, and so many
+    /// connections in this process.
+    pub fn new(limit_mib: usize, connections: ConnectionLimits) -> MemoryAccount {
         MemoryAccount {
-            budget: MemoryAccount::budget_for(limit_mib),
+            budget: MemoryAccount::budget_for(limit_mib, connections),
             reserved: 0,
             peak: 0,
             refusals: Default::default(),
         }
     }
 
-    fn budget_for(limit_mib: usize) -> usize {
-        let own = limit_mib / PROCESSES_OF_AN_UPGRADE;
-        let available = own.saturating_sub(BASELINE_MIB).max(MIN_BUDGET_MIB);
-        available.saturating_mul(MIB) / 100 * USABLE_PERCENT
+    fn budget_for(limit_mib: usize, connections: ConnectionLimits) -> usize {
+        available_bytes(limit_mib).saturating_sub(connections.bytes()).max(MIN_BUDGET_MIB * MIB)
     }
 
-    /// Applies another limit. What is reserved stays so.
-    pub fn set_limit(&mut self, limit_mib: usize) {
-        self.budget = MemoryAccount::budget_for(limit_mib);
+    /// Applies other limits. What is reserved stays so.
+    pub fn set_limits(&mut self, limit_mib: usize, connections: ConnectionLimits) {
+        self.budget = MemoryAccount::budget_for(limit_mib, connections);
     }
 
     /// Counts a reservation that was refused.
--- a/crates/lab/src/scale/host/hollow.rs
+++ b/crates/lab/src/scale/host/hollow.rs
@@ -7,6 +7,7 @@
 use crate::scale::control::{self, Order};
 use async_channel::Sender;
 use async_executor::Task;
+use cottonpoint::active::connection_limits;
 use cottonpoint::config::Config;
 use cottonpoint_core::{Clock, Sidecar, endpoint_id};
 use cottonpoint_decide::ListKind;
@@ -78,7 +79,7 @@
         let settings = names.balancer_settings(platform);
         let (sidecar, subscriptions) =
             Sidecar::new(settings, config.seed, Clock::start(), self.executor.clone());
-        let memory = Memory::new(config.memory_mb);
+        let memory = Memory::new(config.memory_mb, connection_limits(&config));
         let endpoint_connections =
             EndpointConnections::new(pool_settings(&config), self.executor.clone(), memory);
         // The balancer starts with its first event.
--- a/crates/net/src/clients/mod.rs
+++ b/crates/net/src/clients/mod.rs
@@ -25,7 +25,7 @@
 };
 use flow::Answered;
 use futures_lite::future;
-use read::{CONNECTION_BYTES, ClientConnection, ReadFault};
+use read::{ClientConnection, ReadFault};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
@@ -267,7 +267,7 @@
         let mut connection = ClientConnection::new(stream, &self.memory);
         let end = self.serve(&mut connection).await;
         let ClientConnection { stream, reservation, .. } = connection;
-        reservation.shrink_to(CONNECTION_BYTES);
+        drop(reservation);
         match end {
             ConnectionEnd::Close { last_response } => self.close_client(&stream, last_response).await,
             ConnectionEnd::Reset => {
--- a/crates/net/src/clients/read.rs
+++ b/crates/net/src/clients/read.rs
@@ -19,8 +19,6 @@
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
-/// What a connection holds without a request, in bytes: an empty buffer and its task's state.
-pub(super) const CONNECTION_BYTES: usize = 12 << 10;
 /// Longest request body in bytes (the deployment's requirements).
 pub(super) const REQUEST_LIMIT_BYTES: usize = 32 << 20;
 /// A request waits for memory this long before it is refused.
@@ -69,19 +67,17 @@
 
 impl ClientConnection {
     pub(super) fn new(stream: Async<TcpStream>, memory: &Rc<Memory>) -> ClientConnection {
-        let reservation = memory.reservation();
-        reservation.try_grow(CONNECTION_BYTES, Purpose::Admitted);
         ClientConnection {
             stream,
             buffer: Buffer::default(),
-            reservation,
+            reservation: memory.reservation(),
             progress: Rc::new(Cell::new(Instant::now())),
         }
     }
 
     /// Gives back what the last request took.
     pub(super) fn release_request(&self) {
-        self.reservation.shrink_to(CONNECTION_BYTES + self.buffer.capacity().saturating_sub(READ_SIZE));
+        self.reservation.shrink_to(self.buffer.capacity().saturating_sub(READ_SIZE));
     }
 
     /// Reads a request: the head by `deadline`, the body within a time of its own that grows with
@@ -176,7 +172,8 @@
 
 impl HeadReader<'_> {
     fn try_reserve(&self, room: usize, has_waited: bool) -> bool {
-        let wanted = CONNECTION_BYTES + (self.read + room).saturating_sub(READ_SIZE);
+        // The connection's own part covers an empty buffer.
+        let wanted = (self.read + room).saturating_sub(READ_SIZE);
         match wanted.saturating_sub(self.reservation.bytes()) {
             0 => true,
             more if has_waited => self.reservation.try_grow_again(more, Purpose::Reading),
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -1,7 +1,7 @@
 //! Reservations of memory: what a connection holds is reserved in the process's account, and given
 //! back when the reservation is dropped.
 
-use cottonpoint_core::{MemoryAccount, Purpose};
+use cottonpoint_core::{ConnectionLimits, MemoryAccount, Purpose};
 use event_listener::{Event, EventListener};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -29,15 +29,16 @@
 }
 
 impl Memory {
-    /// An account for a process of a sidecar that may have `limit_mib` MiB in all.
-    pub fn new(limit_mib: usize) -> Rc<Memory> {
-        let account = MemoryAccount::new(limit_mib).into();
+    /// An account for a process of a sidecar that may have `limit_mib` MiB in all, and so many
+    /// connections in this process.
+    pub fn new(limit_mib: usize, connections: ConnectionLimits) -> Rc<Memory> {
+        let account = MemoryAccount::new(limit_mib, connections).into();
         Rc::new(Memory { account, released: Event::new(), refused: Event::new() })
     }
 
-    /// Applies another limit, in MiB.
-    pub fn set_limit(&self, limit_mib: usize) {
-        self.account.borrow_mut().set_limit(limit_mib);
+    /// Applies other limits, of memory in MiB and of connections.
+    pub fn set_limits(&self, limit_mib: usize, connections: ConnectionLimits) {
+        self.account.borrow_mut().set_limits(limit_mib, connections);
         self.released.notify(usize::MAX);
     }
 
--- a/crates/net/src/servers/mod.rs
+++ b/crates/net/src/servers/mod.rs
@@ -8,11 +8,11 @@
 pub use client::{AnswerStart, AttemptClient, BodyFault, ClientFault};
 pub use send::{AttemptEnd, BodyRest, EndpointResponse, OutgoingRequest};
 
-use crate::memory::{Memory, Reservation, bound_socket_buffers};
+use crate::memory::{Memory, bound_socket_buffers};
 use async_executor::Task;
 use async_io::{Async, Timer};
 use cottonpoint_codec::buffer::Buffer;
-use cottonpoint_core::{EndpointAddress, Executor, Purpose};
+use cottonpoint_core::{EndpointAddress, Executor};
 use cottonpoint_decide::{EndpointId, Outcome};
 use cottonpoint_settings::ReportFields;
 use futures_lite::future;
@@ -33,9 +33,6 @@
 /// single one may be a slow request's.
 const SUSPECT_TIMEOUTS: u32 = 2;
 
-/// What an open connection holds in this process, in bytes: its buffer and its task's state.
-const CONNECTION_BYTES: usize = 10 << 10;
-
 /// The settings of the connection pool.
 #[derive(Clone, Debug)]
 pub struct PoolSettings {
@@ -60,7 +57,6 @@
     /// The start of the endpoint that it was made to.
     endpoint: EndpointAddress,
     _guard: ConnectionGuard,
-    _reservation: Reservation,
 }
 
 /// Counts a connection for as long as it is open.
@@ -100,7 +96,7 @@
 }
 
 impl EndpointConnections {
-    /// Creates an empty pool. What its connections hold is reserved in `memory`.
+    /// Creates an empty pool. Answers that are held are reserved in `memory`.
     pub fn new(settings: PoolSettings, executor: Executor, memory: Rc<Memory>) -> Rc<EndpointConnections> {
         Rc::new_cyclic(|weak_self| EndpointConnections {
             settings: settings.into(),
@@ -203,15 +199,7 @@
         let stream = super::with_timeout(self.connect_timeout(), connect).await?;
         stream.get_ref().set_nodelay(true)?;
         bound_socket_buffers(stream.get_ref(), self.settings.borrow().socket_buffer);
-        let reservation = self.memory.reservation();
-        reservation.try_grow(CONNECTION_BYTES, Purpose::Admitted);
-        Ok(Connection {
-            stream: Rc::new(stream),
-            buffer: Buffer::default(),
-            endpoint,
-            _guard: guard,
-            _reservation: reservation,
-        })
+        Ok(Connection { stream: Rc::new(stream), buffer: Buffer::default(), endpoint, _guard: guard })
     }
 
     /// Closes the connection that has been idle for longest; false where there is none.
--- a/crates/program/src/active.rs
+++ b/crates/program/src/active.rs
@@ -4,7 +4,7 @@
 
 use crate::config::Config;
 use async_channel::Sender;
-use cottonpoint_core::Sidecar;
+use cottonpoint_core::{ConnectionLimits, Sidecar};
 use cottonpoint_decide::Discovery;
 use cottonpoint_net::clients::Clients;
 use cottonpoint_net::list::{DiscoveryAddress, NameTable};
@@ -53,8 +53,9 @@
             // Unbounded: it fails only once the watcher is gone.
             let _ = self.address_updates.try_send(address);
         }
-        self.memory.set_limit(config.memory_mb);
-        self.clients.set_max_connections(connection_limits(&config).0);
+        let connections = connection_limits(&config);
+        self.memory.set_limits(config.memory_mb, connections);
+        self.clients.set_max_connections(connections.clients);
         self.endpoint_connections.set_pool_settings(pool_settings(&config));
         tracing::info!("{}", self.config.apply(config));
     }
@@ -68,17 +69,21 @@
         // Connections are closed well before the endpoint closes them, which could happen during a
         // request.
         idle_timeout: settings.conn_idle.mul_f64(0.7),
-        max_connections: connection_limits(config).1,
+        max_connections: connection_limits(config).endpoints,
         socket_buffer: config.socket_buffer,
         fields: settings.fields.clone(),
         field_names: settings.field_names.clone(),
     }
 }
 
-/// The maximum numbers of client connections and of endpoint connections. If the system allows fewer
-/// descriptors than the settings, both are reduced, so that clients at their maximum leave enough
-/// descriptors for discovery, the console and endpoints.
-pub fn connection_limits(config: &Config) -> (usize, usize) {
+/// The maximum numbers of connections. If the system allows fewer descriptors than the settings, or
+/// the memory has no room for as many, they are reduced, so that clients at their maximum leave enough
+/// for discovery, the console, endpoints and messages.
+pub fn connection_limits(config: &Config) -> ConnectionLimits {
+    descriptor_limits(config).within_memory(config.memory_mb)
+}
+
+fn descriptor_limits(config: &Config) -> ConnectionLimits {
     let (clients, endpoints) = (config.client_connections, config.endpoint_connections);
     let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
     let open_files_limit =
@@ -86,11 +91,11 @@
     let Some(open_files_limit) =
         open_files_limit.and_then(|open_files_limit| open_files_limit.parse::<usize>().ok())
     else {
-        return (clients, endpoints);
+        return ConnectionLimits { clients, endpoints };
     };
     let available = open_files_limit.saturating_sub(OWN_DESCRIPTORS).clamp(2, clients + endpoints);
     let clients = (clients * available / (clients + endpoints)).max(1);
-    (clients, available - clients)
+    ConnectionLimits { clients, endpoints: available - clients }
 }
 
 /// The address of discovery in a configuration, and whether it pushes lists.
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -111,7 +111,8 @@
     let (sidecar, list_requests) =
         Sidecar::new(names.balancer_settings(&settings), config.seed, clock, executor.clone());
     sidecar.set_drain_grace(settings.drain_grace);
-    let memory = Memory::new(config.memory_mb);
+    let connections = connection_limits(&config);
+    let memory = Memory::new(config.memory_mb, connections);
     let endpoint_connections =
         EndpointConnections::new(pool_settings(&config), executor.clone(), memory.clone());
     bound_socket_buffers(&listener, config.socket_buffer);
@@ -136,7 +137,7 @@
         endpoint_connections.clone(),
         settings,
         executor.clone(),
-        connection_limits(&config).0,
+        connections.clients,
         memory.clone(),
         config.state_dir.as_deref().and_then(open_shared_ids),
     );
--- a/crates/program/tests/sidecar/memory.rs
+++ b/crates/program/tests/sidecar/memory.rs
@@ -200,6 +200,13 @@
     [96, 192].into_iter().for_each(|limit_mb| play(send_two_and_read_slowly, limit_mb));
 }
 
+/// Guards against connections that leave no memory for messages at the least limit of the pages, or
+/// exceed it by themselves.
+#[test]
+fn memory_is_bounded_at_the_least_limit() {
+    [stop_in_the_body as Act, send_two_and_read_slowly].into_iter().for_each(|act| play(act, 32));
+}
+
 /// Guards against an answer that fills the system's buffers where its client does not read: a few
 /// hundred such answers would take more than the process may have.
 #[test]
