Count an endpoint's time to the first byte passed on; hold an unrepeatable answer longer

What callers would see: readers of long answers lowered the learned limit, since an attempt's time ran to the last byte its client took, and a time over the latency target counts as a time-out. An answer of unknown length that cannot be repeated was given up at the request's deadline where its last byte was 0.5 s old.

At the deadline such an answer is passed on unless it has stalled for 2 s. Found by reading; the first has no test of its own. New test: a client of HTTP/1.0 sees a reset where an answer without a length broke, and a clean end where it is whole.

--- a/crates/core/src/answer_hold.rs
+++ b/crates/core/src/answer_hold.rs
@@ -13,6 +13,9 @@
 const HOLD_TIME: Duration = Duration::from_millis(500);
 /// A held answer without a byte for this long is given up, if another attempt can be made.
 const STALL_TIME: Duration = Duration::from_millis(500);
+/// At the request's deadline an answer of unknown length that cannot be repeated is passed on, unless
+/// it has stalled for this long.
+const LATE_STALL_TIME: Duration = Duration::from_secs(2);
 /// With less than this, in bytes, an answer that may be repeated is given up rather than passed on
 /// late: it may be one that never ends.
 const SUBSTANTIAL_BYTES: u64 = 1 << 10;
@@ -71,7 +74,8 @@
         let has_stalled = now >= self.last_byte_at + STALL_TIME;
         let is_substantial = self.received >= SUBSTANTIAL_BYTES;
         if now >= self.deadline {
-            let arrives = is_substantial || !(has_stalled || self.repeatable);
+            let arrives = !self.repeatable && now < self.last_byte_at + LATE_STALL_TIME;
+            let arrives = arrives || is_substantial;
             return if may_be_long && arrives { HoldDecision::PassOn } else { HoldDecision::TimedOut };
         }
         if self.repeatable && has_stalled {
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -3,6 +3,7 @@
 use super::{AbortReason, AttemptFacts, Denial, EndpointAddress, Sidecar};
 use async_channel::Receiver;
 use cottonpoint_decide::*;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,8 @@
     /// Time at which the attempt is abandoned if its answer has not begun.
     deadline: Time,
     sent_at: Time,
+    /// When its answer began to be passed on, if it is passed on as it arrives.
+    passed_on_at: Cell<Option<Time>>,
     aborted: Receiver<AbortReason>,
     completed: bool,
 }
@@ -32,7 +35,17 @@
         aborted: Receiver<AbortReason>,
     ) -> Attempt {
         let sent_at = sidecar.clock.now();
-        Attempt { sidecar, request, number, endpoint, deadline, sent_at, aborted, completed: false }
+        Attempt {
+            sidecar,
+            request,
+            number,
+            endpoint,
+            deadline,
+            sent_at,
+            passed_on_at: Cell::new(None),
+            aborted,
+            completed: false,
+        }
     }
 
     /// The current time.
@@ -73,6 +86,12 @@
         self.sidecar.core.borrow().balancer.may_repeat(self.request, self.now())
     }
 
+    /// Notes that the answer begins to be passed on as it arrives. The endpoint's time ends here: how
+    /// long the rest takes depends on its length and its reader.
+    pub fn note_passed_on(&self) {
+        self.passed_on_at.set(Some(self.now()));
+    }
+
     /// Counts an answer that was cut off while it was passed on.
     pub fn record_cut(&self, reason: &'static str) {
         self.sidecar.counts.answer_cut(reason);
@@ -165,7 +184,7 @@
             endpoint: self.endpoint.id,
             outcome,
             closed: served || was_closed,
-            elapsed: self.sidecar.clock.now().since(self.sent_at),
+            elapsed: self.passed_on_at.get().unwrap_or(self.now()).since(self.sent_at),
             report,
         });
         served
--- a/crates/net/src/servers/receive.rs
+++ b/crates/net/src/servers/receive.rs
@@ -245,6 +245,7 @@
         client: &impl AttemptClient,
         bytes: &mut u64,
     ) -> Result<(), AnswerFault> {
+        self.attempt.note_passed_on();
         client.begin_answer(start).await.map_err(AnswerFault::Client)?;
         let held = std::mem::take(&mut self.held);
         client.pass_on(&held).await.map_err(AnswerFault::Client)?;
--- a/crates/program/tests/sidecar/long_answers.rs
+++ b/crates/program/tests/sidecar/long_answers.rs
@@ -266,6 +266,38 @@
     }
 }
 
+/// Guards against an answer that looks whole to a client of HTTP/1.0, which knows its end only by
+/// the end of the connection: a broken one ends by a reset.
+#[test]
+fn client_without_chunks_can_tell_that_an_answer_broke() {
+    for breaks in [false, true] {
+        let (sidecar, endpoint, _discovery) = start();
+        let mut client = sidecar.client();
+        send(&mut client, &LOOK.replace("HTTP/1.1", "HTTP/1.0"));
+        let mut connection = endpoint.accept();
+        let writes = thread::spawn(move || {
+            let length = 237 * KIB;
+            let sent = if breaks { 150 * KIB } else { length };
+            write_answer(
+                &mut connection.stream,
+                Framing::Chunked,
+                length,
+                Duration::from_millis(300),
+                sent,
+            );
+            if breaks {
+                reset_connection(connection.stream);
+            }
+        });
+        let mut bytes = Vec::new();
+        let read = client.read_to_end(&mut bytes);
+        assert!(bytes.starts_with(b"HTTP/1.1 200") && bytes.len() > 100 * KIB, "{} bytes", bytes.len());
+        assert_eq!(read.is_err(), breaks, "{} bytes: {read:?}", bytes.len());
+        writes.join().expect("it writes");
+        sidecar.stop_and_join();
+    }
+}
+
 /// Guards against reading on for a client that has left in the middle of its answer.
 #[test]
 fn endpoint_is_let_go_when_the_reader_leaves() {
