--- a/crates/lab/src/soak/clients.rs
+++ b/crates/lab/src/soak/clients.rs
@@ -150,6 +150,11 @@
         }
     }
 
+    /// Whether clients use this class of the configuration in force.
+    pub fn uses(&self, class: usize) -> bool {
+        self.classes.borrow().contains(&class)
+    }
+
     /// Draws one of the classes in use; there may be none for a while after a configuration.
     fn draw_class(&self) -> Option<usize> {
         self.random.borrow_mut().choice(self.classes.borrow().iter().copied())
--- a/crates/lab/src/soak/play.rs
+++ b/crates/lab/src/soak/play.rs
@@ -329,6 +329,10 @@
     fn start_pressure(&self, slot: usize, kind: PressureKind) {
         let number = self.pressure_events.replace(self.pressure_events.get() + 1);
         self.with_clients(slot, |clients, executor| {
+            // A configuration may have dropped the class.
+            if kind.class().is_some_and(|class| !clients.uses(class)) {
+                return;
+            }
             let pressure = Pressure {
                 kind,
                 address: clients.address,
--- a/crates/lab/src/soak/play/stops.rs
+++ b/crates/lab/src/soak/play/stops.rs
@@ -4,7 +4,7 @@
 use crate::soak::clients::Clients;
 use crate::soak::member::{self, RunningProcess};
 use async_io::Timer;
-use rustix::process::Signal;
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,13 +19,12 @@
 
 impl SoakRun {
     pub(super) async fn pause(&self, slot: usize) -> io::Result<()> {
-        let signal = |signal| {
-            let running = self.slots[slot].running.borrow();
-            running.as_ref().map_or(Ok(()), |running| running.process.signal(signal))
-        };
-        signal(Signal::STOP)?;
+        let process = self.slots[slot].running.borrow().as_ref().map(|running| running.process.id());
+        let Some(process) = process.and_then(|id| Pid::from_raw(id.cast_signed())) else { return Ok(()) };
+        kill_process(process, Signal::STOP)?;
         Timer::after(PAUSE).await;
-        signal(Signal::CONT)
+        // A stop may have taken the process from its slot meanwhile.
+        Ok(kill_process(process, Signal::CONT)?)
     }
 
     /// Sends SIGTERM to a process and, at the earliest permitted time, SIGKILL if it still runs.
--- a/crates/lab/src/soak/pressure.rs
+++ b/crates/lab/src/soak/pressure.rs
@@ -36,6 +36,11 @@
 const FLOOD_TIME: Duration = Duration::from_secs(2);
 const FLOOD_BATCH: usize = 20;
 
+/// Positions of the classes of their requests.
+const SAFE_CLASS: usize = 0;
+const KEYED_CLASS: usize = 1;
+const UNSAFE_CLASS: usize = 2;
+
 /// What the clients do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PressureKind {
@@ -70,6 +75,17 @@
         PressureKind::Flood,
     ];
 
+    /// The class of the requests, as a position in [`CLASSES`](super::classes::CLASSES); `None` where
+    /// they need no class.
+    pub fn class(self) -> Option<usize> {
+        match self {
+            PressureKind::SlowReaders | PressureKind::LongAnswers => Some(SAFE_CLASS),
+            PressureKind::LongRequests => Some(KEYED_CLASS),
+            PressureKind::ReturningIds => Some(UNSAFE_CLASS),
+            _ => None,
+        }
+    }
+
     fn client_count(self) -> usize {
         match self {
             PressureKind::LongAnswers | PressureKind::LongRequests => LONG_MESSAGES,
