--- a/review/standins-2/src/late_copy.rs
+++ b/review/standins-2/src/late_copy.rs
@@ -56,15 +56,15 @@
                 };
                 let id = new_id();
                 let request = safe_request(class, tenant, &id, time_left);
+                record.add(format_args!("client sends {id}"));
                 let Ok(answer) = exchange(&mut stream, request.as_bytes(), ms(time_left + 550)) else {
                     record.add(format_args!("client of {id}: no answer"));
                     continue;
                 };
                 let body = String::from_utf8_lossy(&answer.body).into_owned();
                 let is_foreign = answer.status() == 200 && body.split(' ').nth(1) != Some(&id);
-                if is_foreign {
-                    record.add(format_args!("client of {id} has 200 with '{body}'"));
-                }
+                let whose = if is_foreign { ", the answer to another request" } else { "" };
+                record.add(format_args!("client of {id} has {} with '{body}'{whose}", answer.status()));
                 let _ = sender.send((answer.status(), is_foreign));
                 if answer.header("connection") != Some("close") {
                     connection = Some(stream);
@@ -121,6 +121,7 @@
     let mut kept = Vec::new();
     while let Some(message) = read_message(&mut stream, &mut kept)? {
         let id = message.header("x-correlation-id").unwrap_or_default().to_owned();
+        record.add(format_args!("endpoint {name} received {id}"));
         thread::sleep(WORK);
         let body = format!("{name} {id}");
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,7 +5,7 @@
 mod half_requests;
 mod kit;
 mod late_copy;
-mod short_restart;
+mod shared_id;
 mod stopped_download;
 
 use kit::{Outcome, Record};
@@ -17,9 +17,9 @@
     match case {
         "crowded-upgrade" => crowded_upgrade::run(record),
         "half-requests" => half_requests::run(record),
+        "shared-id" => shared_id::run(record),
         "stopped-download" => stopped_download::run(record),
         "late-copy" => late_copy::run(record),
-        "short-restart" => short_restart::run(record),
         _ => Err(format!("no case {case}")),
     }
 }
--- a/review/standins-2/src/stopped_download.rs
+++ b/review/standins-2/src/stopped_download.rs
@@ -39,6 +39,12 @@
     };
     let mut sidecar = Sidecar::start("sidecar", &start, record)?;
     sidecar.wait_until_ready()?;
+    // One sidecar after another is restarted: the other one of the two runs on.
+    let other_folder = Folder::new("stopped-download-other")?;
+    let other_start =
+        Start { folder: &other_folder, listen: free_address()?, console: free_address()?, ..start };
+    let mut other = Sidecar::start("other sidecar", &other_start, record)?;
+    other.wait_until_ready()?;
     thread::sleep(ms(1000));
     let (class, tenant, time_left) = (site.classes[0].name, site.tenant, site.classes[0].give_up_ms);
     let (sender, results) = channel();
@@ -70,6 +76,9 @@
         thread::sleep(ms(10));
     }
     sidecar.kill();
+    if other.has_ended() {
+        return Err("the other sidecar has ended".to_owned());
+    }
     let results: Vec<(Result<usize, String>, Instant)> = results.iter().collect();
     let cut = results.iter().filter(|(result, at)| result.is_err() && *at < killed_at).count();
     let line = format!(
