Show the id of an open request served by the other process of an upgrade (review/10)

A request of class print-order is open at the old process. After SIGTERM a bad client sends its id to the new one: it is served in place of an error, and an endpoint gets the id a second time while the first attempt is out. Each process knows the open ids of its own; the shared file holds those of other classes.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 REPOSITORY=$(cd ../.. && pwd) || exit 2
 export REPOSITORY
-exec ../standins-2/target/release/review-standins-2 crowded-upgrade "$PWD"
+exec ../standins-2/target/release/review-standins-2 shared-id "$PWD"
