--- a/review/standins-2/src/crowded_upgrade.rs
+++ b/review/standins-2/src/crowded_upgrade.rs
@@ -22,7 +22,7 @@
     let arrivals = Arrivals::default();
     let endpoint = |name| Endpoint::start(name, record, &arrivals, |_| ms(10));
     let endpoints = [endpoint("s-a")?, endpoint("s-b")?, endpoint("s-c")?];
-    let entries = endpoints.iter().map(|endpoint| Entry::active(endpoint, site.zone)).collect();
+    let entries = endpoints.iter().map(|endpoint| Entry::active(endpoint, site.zones[0])).collect();
     let discovery = Discovery::start(record, entries)?;
     let folder = Folder::new("crowded-upgrade")?;
     let known = discovery.whole_list();
--- a/review/standins-2/src/kit.rs
+++ b/review/standins-2/src/kit.rs
@@ -237,7 +237,8 @@
     let mut kept = Vec::new();
     while let Ok(Some(message)) = read_message(&mut stream, &mut kept) {
         let id = message.header("x-correlation-id").unwrap_or_default().to_owned();
-        record.add(format_args!("endpoint {name} received {id}, {}", message.first_line()));
+        let told = message.header("x-time-left-ms").unwrap_or("no");
+        record.add(format_args!("endpoint {name} received {id}, told {told} ms, {}", message.first_line()));
         let arrival =
             Arrival { endpoint: name, id: id.clone(), first_byte: message.first_byte, answered: None };
         let index = {
@@ -412,7 +413,9 @@
 /// Settings of a small deployment.
 pub struct Site {
     pub classes: Vec<Class>,
-    pub zone: &'static str,
+    /// The zones; the sidecar is in the first one.
+    pub zones: &'static [&'static str],
+    pub cross_zone_price: f64,
     pub tenant: &'static str,
     /// `piggyback` or `silent`, and the fields of the load reports.
     pub reports: &'static str,
@@ -450,7 +453,8 @@
             class("album-zip", "read_like", 2500, 6000, 1.0),
             class("print-order", "idempotency_key", 2500, 6000, 8.0),
         ],
-        zone: "singhadurbar-dc",
+        zones: &["singhadurbar-dc"],
+        cross_zone_price: 0.0,
         tenant: "kathmandu-office",
         fields: "throughput,recent_ms,utilization",
         reports: "piggyback",
@@ -486,7 +490,8 @@
             class("tank-drop", "non_idempotent", 750, 2000, 3.0),
             class("farmer-pay", "idempotency_key", 600, 1500, 10.0),
         ],
-        zone: "mandeville",
+        zones: &["mandeville", "linstead", "santa-cruz"],
+        cross_zone_price: 0.015,
         tenant: "manchester",
         fields: "throughput,utilization",
         reports: "piggyback",
@@ -521,7 +526,8 @@
             class("plan-cover", "read_like", 2500, 6000, 1.0),
             class("confirm-swap", "idempotency_key", 2500, 6000, 8.0),
         ],
-        zone: "bandung",
+        zones: &["bandung", "semarang", "surabaya"],
+        cross_zone_price: 0.015,
         tenant: "ward",
         reports: "silent",
         fields: "",
@@ -542,6 +548,7 @@
 impl Site {
     fn json(&self) -> String {
         let ns = |ms: u64| ms * 1_000_000;
+        let zones: Vec<String> = self.zones.iter().map(|zone| format!("\"{zone}\"")).collect();
         let lanes: Vec<String> = self
             .classes
             .iter()
@@ -555,15 +562,15 @@
         let fields = self.fields.split(',').filter(|field| !field.is_empty());
         let fields: Vec<String> = fields.map(|f| format!("\"{f}\"")).collect();
         format!(
-            r#"{{"me":0,"siblings":1,"my_zone":0,"tier":0,"azs":["{}"],"shapes":["m1"],"layers":["front"],
+            r#"{{"me":0,"siblings":1,"my_zone":0,"tier":0,"azs":[{}],"shapes":["m1"],"layers":["front"],
 "discovery":"on_request","telemetry":{{"how":"{}","fields":[{}]}},
 "lanes":[{}],"orgs":[{{"name":"{}","quota_per_s":400.0,"share":1.0}}],"over_share_worth":0.2,
 "limits":{{"max_attempts":{},"may_duplicate":{},"cancelling":true,"probes":false,"peer_messages":false,
 "retry_after":false,"max_retry_after_ns":2000000000,"connect_timeout_ns":{},"conn_idle_ns":{},"streams_per_conn":1}},
 "obligations":{{"answer_slack_ns":8000000,"ask_within_ns":10000000000,"cold_from":{},"fall_multiple":{},
 "stop_sending_within_ns":{},"tip_after_ns":{},"warm_after_ns":{}}},
-"penalties":{{"cross_zone":0.0}},"weight_kind":"nominal","worth_by":"request"}}"#,
-            self.zone,
+"penalties":{{"cross_zone":{}}},"weight_kind":"nominal","worth_by":"request"}}"#,
+            zones.join(","),
             self.reports,
             fields.join(","),
             lanes.join(","),
@@ -576,7 +583,8 @@
             self.fall_multiple,
             ns(self.grace_ms),
             ns(self.tip_after_ms),
-            ns(self.warm_after_ms)
+            ns(self.warm_after_ms),
+            self.cross_zone_price
         )
     }
 }
--- a/review/standins-2/src/late_copy.rs
+++ b/review/standins-2/src/late_copy.rs
@@ -14,11 +14,21 @@
 const LATE: Duration = ms(8);
 /// One answer in so many comes twice.
 const ONE_IN: u64 = 10;
-/// The network between the zones, one way, in microseconds: 8 ms, and a third of it as jitter (the
-/// site file: 5.6 to 10 ms, jitter 0.16 to 0.33).
-const LINK_US: (u64, u64) = (5_400, 10_600);
+/// Endpoints and their zones; the sidecar is in the first one.
+const ENDPOINTS: [(&str, &str); 6] = [
+    ("s-a", "bandung"),
+    ("s-b", "bandung"),
+    ("s-c", "semarang"),
+    ("s-d", "semarang"),
+    ("s-e", "surabaya"),
+    ("s-f", "surabaya"),
+];
+/// The network, one way, in microseconds, by the site file: in a zone 0.1 to 0.27 ms, between zones 8 ms
+/// (5.6 to 10 ms), and a third of that as jitter (0.16 to 0.33).
+const SAME_ZONE_US: (u64, u64) = (100, 270);
+const CROSS_ZONE_US: (u64, u64) = (5_400, 10_600);
 const WORK: Duration = ms(20);
-const CLIENTS: usize = 6;
+const CLIENTS: usize = 12;
 const LENGTH: Duration = ms(20_000);
 
 pub fn run(record: &Arc<Record>) -> Outcome {
@@ -26,9 +36,10 @@
     let site = roster_jawa();
     let copies = Arc::new(AtomicU64::new(0));
     let mut entries = Vec::new();
-    for name in ["s-a", "s-b", "s-c"] {
+    for (name, zone) in ENDPOINTS {
         let endpoint = start_endpoint(name, record, trouble, &copies)?;
-        entries.push(Entry::active(&Endpoint { name, address: start_link(endpoint)? }, "semarang"));
+        let link = if zone == site.zones[0] { SAME_ZONE_US } else { CROSS_ZONE_US };
+        entries.push(Entry::active(&Endpoint { name, address: start_link(endpoint, link)? }, zone));
     }
     let discovery = Discovery::start(record, entries)?;
     let folder = Folder::new("late-copy")?;
@@ -142,7 +153,7 @@
 }
 
 /// A proxy that delays each piece of both directions by a time of its own, in order.
-fn start_link(target: SocketAddr) -> Result<SocketAddr, String> {
+fn start_link(target: SocketAddr, link: (u64, u64)) -> Result<SocketAddr, String> {
     let listener = TcpListener::bind(loopback(0)).map_err(|e| e.to_string())?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     let random = Arc::new(Mutex::new(0x2545_F491_4F6C_DD1D_u64 ^ u64::from(address.port())));
@@ -152,14 +163,14 @@
             let both = [(near.try_clone(), far.try_clone()), (far.try_clone(), near.try_clone())];
             for pair in both {
                 let (Ok(from), Ok(to)) = pair else { continue };
-                delay(from, to, random.clone());
+                delay(from, to, link, random.clone());
             }
         }
     });
     Ok(address)
 }
 
-fn delay(mut from: TcpStream, mut to: TcpStream, random: Arc<Mutex<u64>>) {
+fn delay(mut from: TcpStream, mut to: TcpStream, link: (u64, u64), random: Arc<Mutex<u64>>) {
     let _ = to.set_nodelay(true);
     let (sender, pieces) = channel::<(Instant, Vec<u8>)>();
     thread::spawn(move || {
@@ -181,7 +192,7 @@
                 *state ^= *state << 17;
                 *state
             };
-            let delay = Duration::from_micros(LINK_US.0 + drawn % (LINK_US.1 - LINK_US.0));
+            let delay = Duration::from_micros(link.0 + drawn % (link.1 - link.0));
             if sender.send((Instant::now() + delay, buffer[..n].to_vec())).is_err() {
                 return;
             }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -9,6 +9,7 @@
 mod stopped_download;
 
 use kit::{Outcome, Record};
+use std::panic::{self, AssertUnwindSafe};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -32,7 +33,9 @@
     };
     let record = Record::new();
     record.add(format_args!("case {case}, trouble {}", kit::has_trouble()));
-    let outcome = run(case, &record);
+    // A panic of the driver says nothing of the rule.
+    let outcome = panic::catch_unwind(AssertUnwindSafe(|| run(case, &record)));
+    let outcome = outcome.unwrap_or_else(|_| Err("the driver panicked".to_owned()));
     let (line, code) = match outcome {
         Ok(true) => ("the rule was broken".to_owned(), 1),
         Ok(false) => ("the rule held".to_owned(), 0),
--- a/review/standins-2/src/shared_id.rs
+++ b/review/standins-2/src/shared_id.rs
@@ -19,7 +19,7 @@
     let arrivals = Arrivals::default();
     let endpoint = |name| Endpoint::start(name, record, &arrivals, |_| WORK);
     let endpoints = [endpoint("s-a")?, endpoint("s-b")?, endpoint("s-c")?];
-    let entries = endpoints.iter().map(|endpoint| Entry::active(endpoint, site.zone)).collect();
+    let entries = endpoints.iter().map(|endpoint| Entry::active(endpoint, site.zones[0])).collect();
     let discovery = Discovery::start(record, entries)?;
     let folder = Folder::new("shared-id")?;
     let known = discovery.whole_list();
@@ -60,9 +60,9 @@
     thread::sleep(ms(200));
     if trouble {
         old.signal("TERM")?;
-        // From now on the new process alone takes new connections.
-        thread::sleep(ms(400));
     }
+    // By then the new process alone takes new connections.
+    thread::sleep(ms(400));
     let mut bad = TcpStream::connect(start.listen).map_err(|e| e.to_string())?;
     let request = keyed_request("print-order", tenant, &id, TIME_LEFT).replace("key-", "other-key-");
     record.add(format_args!("the bad client sends {id}, the id of an open request"));
--- a/review/standins-2/src/stopped_download.rs
+++ b/review/standins-2/src/stopped_download.rs
@@ -2,7 +2,7 @@
 //! that the pages allow.
 
 use crate::kit::*;
-use std::io::Read;
+use std::io::{self, Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::mpsc::channel;
@@ -25,7 +25,7 @@
     let arrivals = Arrivals::default();
     let endpoint = |name| Endpoint::start_long(name, record, &arrivals, LENGTH, PIECE, PIECE_TIME);
     let endpoints = [endpoint("s-a")?, endpoint("s-b")?, endpoint("s-c")?];
-    let entries = endpoints.iter().map(|endpoint| Entry::active(endpoint, site.zone)).collect();
+    let entries = endpoints.iter().map(|endpoint| Entry::active(endpoint, site.zones[0])).collect();
     let discovery = Discovery::start(record, entries)?;
     let folder = Folder::new("stopped-download")?;
     let known = discovery.whole_list();
@@ -79,8 +79,12 @@
     if other.has_ended() {
         return Err("the other sidecar has ended".to_owned());
     }
-    let results: Vec<(Result<usize, String>, Instant)> = results.iter().collect();
-    let cut = results.iter().filter(|(result, at)| result.is_err() && *at < killed_at).count();
+    let results: Vec<(Result<usize, Failure>, Instant)> = results.iter().collect();
+    let is_cut = |result: &Result<usize, Failure>| matches!(result, Err(Failure::Cut { .. }));
+    let cut = results.iter().filter(|(result, at)| is_cut(result) && *at < killed_at).count();
+    if results.iter().any(|(result, _)| matches!(result, Err(Failure::NotBegun(_)))) {
+        return Err("an answer has not begun".to_owned());
+    }
     let line = format!(
         "{DOWNLOADS} long answers, {cut} cut off before SIGKILL, which came {:.1} s after SIGTERM",
         KILLED_AFTER.as_secs_f64()
@@ -89,37 +93,48 @@
     Ok(cut > 0)
 }
 
+/// Why an answer is not whole.
+#[derive(Debug)]
+enum Failure {
+    /// There is no answer with status 200.
+    NotBegun(#[allow(dead_code)] String),
+    /// It ended after so many bytes of its body.
+    Cut {
+        #[allow(dead_code)]
+        received: usize,
+    },
+}
+
+impl From<io::Error> for Failure {
+    fn from(error: io::Error) -> Failure {
+        Failure::NotBegun(error.to_string())
+    }
+}
+
 /// Reads a whole answer of known length. Returns the length of its body.
-fn download(request: &str, target: std::net::SocketAddr) -> Result<usize, String> {
-    let mut stream = TcpStream::connect(target).map_err(|e| e.to_string())?;
-    stream.set_read_timeout(Some(ms(20_000))).map_err(|e| e.to_string())?;
-    std::io::Write::write_all(&mut stream, request.as_bytes()).map_err(|e| e.to_string())?;
+fn download(request: &str, target: std::net::SocketAddr) -> Result<usize, Failure> {
+    let mut stream = TcpStream::connect(target)?;
+    stream.set_read_timeout(Some(ms(20_000)))?;
+    stream.write_all(request.as_bytes())?;
     let (mut bytes, mut buffer) = (Vec::new(), vec![0; 64 << 10]);
-    loop {
-        let head_end = bytes.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4);
-        if let Some(head_end) = head_end {
-            if !bytes.starts_with(b"HTTP/1.1 200") {
-                return Err(String::from_utf8_lossy(&bytes[..head_end])
-                    .lines()
-                    .next()
-                    .unwrap_or("")
-                    .to_owned());
-            }
-            let mut received = bytes.len() - head_end;
-            while received < LENGTH {
-                match stream.read(&mut buffer) {
-                    Ok(0) => {
-                        return Err(format!("the connection ended after {received} of {LENGTH} bytes"));
-                    }
-                    Ok(n) => received += n,
-                    Err(error) => return Err(format!("{error} after {received} of {LENGTH} bytes")),
-                }
-            }
-            return Ok(received);
+    let head_end = loop {
+        if let Some(at) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+            break at + 4;
         }
-        match stream.read(&mut buffer).map_err(|e| e.to_string())? {
-            0 => return Err("no answer".to_owned()),
+        match stream.read(&mut buffer)? {
+            0 => return Err(Failure::NotBegun("no answer".to_owned())),
             n => bytes.extend_from_slice(&buffer[..n]),
         }
+    };
+    if !bytes.starts_with(b"HTTP/1.1 200") {
+        return Err(Failure::NotBegun(String::from_utf8_lossy(&bytes[..head_end]).into_owned()));
+    }
+    let mut received = bytes.len() - head_end;
+    while received < LENGTH {
+        match stream.read(&mut buffer) {
+            Ok(n @ 1..) => received += n,
+            _ => return Err(Failure::Cut { received }),
+        }
     }
+    Ok(received)
 }
