--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -9,7 +9,7 @@
 //!
 //! | what is known | earliest time at which an unknown change counts as notified |
 //! | --- | --- |
-//! | the list was complete at some time | 6 s after that time (at once, if an agent pushes the list) |
+//! | the list was complete at some time | 6 s after that time |
 //! | discovery could not be reached at some time | 6 s after that time: the 6 s run from its return |
 //! | a watch is open for longer than a poll may be queued, or continues right after an answer, and was requested while the lease was valid | 2 s after its hold time |
 //! | an open watch broke | 6 s after that, but no later than 2 s after its hold time |
@@ -17,6 +17,20 @@
 //! | an answer has begun to arrive and is not applied, whatever the reason | when it began |
 //! | no watch is open, and no poll was made for some time | as the setting `ask_within` says; four times that after a failed poll |
 //!
+//! Where an agent pushes the list, all that the agent holds counts as notified at once, from the
+//! first moment of a process:
+//!
+//! | what is known | earliest time at which an unknown change counts as notified |
+//! | --- | --- |
+//! | the process has started, and the agent has not answered | the start, whatever the agent does |
+//! | the agent has answered | when it answered |
+//! | a watch is open that was opened within 0.2 s of the answer, or within 0.1 s of the break of such a watch | 2 s after its hold time |
+//! | such a watch broke | when it broke |
+//! | a call after that failed, before the grace period since the last evidence was over | when the call began |
+//! | a watch was opened later, or a watch fell silent | as before; only an answer counts from then on |
+//! | a reload named another discovery | at most 4 s after the reload, if nothing had been missed until then; else as before |
+//! | an answer has begun to arrive and is not applied, whatever the reason | when it began |
+//!
 //! A change that may have counted as notified stays so: once the lease has expired, only an answer
 //! renews it. An answer that could not be applied counts as notified like any other; from then on
 //! nothing extends the lease but the answer to a later poll.
@@ -31,12 +45,17 @@
 use cottonpoint_decide::{Discovery, Time};
 use std::time::Duration;
 
+mod agent;
 mod event;
+mod poll;
 #[cfg(test)]
 mod tests;
 
 pub use event::PollEvent;
 
+use agent::AgentContact;
+use poll::{LastPoll, Poll};
+
 /// A change counts as notified this long after discovery has it, whether it arrived or not (the
 /// protocol specification).
 const NOTIFIED_AFTER: Duration = Duration::from_secs(6);
@@ -57,43 +76,6 @@
 /// requirements).
 const ASK_WITHIN_FAILURE_FACTOR: u32 = 4;
 
-/// A poll in progress.
-#[derive(Clone, Copy, Debug)]
-struct Poll {
-    begun: Time,
-    hold: Duration,
-    /// Whether it has been connected and sent.
-    sent: bool,
-    /// Whether it continues a watch that has been answered.
-    continues: bool,
-    /// When its answer began to arrive.
-    answer_began: Option<Time>,
-}
-
-impl Poll {
-    /// From when on the poll is known to be a watch that discovery holds open, rather than one that
-    /// may still be queued; `None` for a poll that is not a watch. A watch that continues has been
-    /// accepted and is not queued again.
-    fn established_at(&self, max_queue_time: Duration) -> Option<Time> {
-        if self.continues {
-            return Some(self.begun);
-        }
-        (self.sent && !self.hold.is_zero()).then(|| self.begun + max_queue_time)
-    }
-
-    /// When a change that was missed during a silence counts as notified.
-    fn notified_if_silent(&self) -> Time {
-        self.begun + self.hold + NOTIFIED_AFTER_HOLD
-    }
-}
-
-/// The last poll that reached discovery or failed to.
-#[derive(Clone, Copy, Debug)]
-struct LastPoll {
-    at: Time,
-    failed: bool,
-}
-
 /// What is known about discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum DiscoveryState {
@@ -124,6 +106,8 @@
     watch_answered: Option<Time>,
     last_poll: LastPoll,
     state: DiscoveryState,
+    /// What ties a pushed list to what its agent holds.
+    agent: AgentContact,
     /// Time at which the current list was last known to be complete.
     confirmed: Option<Time>,
 }
@@ -141,14 +125,19 @@
             watch_answered: None,
             last_poll: LastPoll { at: now, failed: false },
             state: DiscoveryState::MayBeDown,
+            agent: AgentContact::None,
             confirmed: None,
         };
         lease.notified_at = now + lease.notified_after();
         lease
     }
 
-    /// Applies new settings.
-    pub fn configure(&mut self, discovery: Discovery, grace: Duration) {
+    /// Applies new settings. A list that becomes a pushed one, or is one no more, comes from another
+    /// discovery.
+    pub fn configure(&mut self, now: Time, discovery: Discovery, grace: Duration) {
+        if self.is_pushed() != (discovery == Discovery::Pushed) {
+            self.observe(now, PollEvent::DiscoveryChanged);
+        }
         (self.discovery, self.grace) = (discovery, grace);
     }
 
@@ -185,6 +174,12 @@
         self.confirmed.map(|confirmed| now.since(confirmed))
     }
 
+    /// Hold time that the poll in progress asks for: zero for a new watch at an agent whose list has
+    /// yet to be confirmed, since only an answer confirms it.
+    pub fn hold_time(&self) -> Duration {
+        self.poll.map_or(Duration::ZERO, |poll| poll.hold)
+    }
+
     /// Records how a poll began or ended.
     pub fn observe(&mut self, now: Time, event: PollEvent) {
         match event {
@@ -193,11 +188,12 @@
             PollEvent::AnswerBegan => return self.on_answer_began(now),
             PollEvent::SupersededUnusable { since } => return self.on_unapplied(since),
             PollEvent::Inconclusive if self.poll.is_some_and(|poll| !poll.sent) => return self.poll = None,
-            PollEvent::Answered { as_of } => self.on_answered(as_of),
+            PollEvent::Answered { as_of } => self.on_answered(self.written_at(as_of)),
+            _ if self.is_pushed() && event.is_failure_of_agent() => self.on_agent_failed(now),
             PollEvent::RejectedAtOnce => self.on_rejected(now),
             PollEvent::RejectedAfterWait => self.on_rejected_after_wait(now),
             PollEvent::Unreachable => self.on_unreachable(now),
-            PollEvent::Inconclusive => drop(self.ended_while_established(now)),
+            PollEvent::BrokenAtOnce | PollEvent::Inconclusive => drop(self.ended_while_established(now)),
             PollEvent::Unusable => self.on_unusable(now),
             PollEvent::TimedOut => self.on_timed_out(now),
             PollEvent::DiscoveryChanged => self.on_discovery_changed(now),
@@ -237,13 +233,12 @@
         self.poll.filter(|_| self.established_at().is_some_and(|at| at <= now))
     }
 
-    /// From when on the poll in progress is taken for an established watch. An agent has no queue.
-    /// Once the lease has expired, only an answer renews it: what counts as notified stays so, and
-    /// a silent discovery answers no watch.
+    /// From when on the poll in progress is taken for an established watch. Once the lease has
+    /// expired, only an answer renews it: what counts as notified stays so, and a silent discovery
+    /// answers no watch.
     fn established_at(&self) -> Option<Time> {
-        let max_queue_time = if self.is_pushed() { Duration::ZERO } else { ESTABLISHED_AFTER };
         let expiry = self.notified_at + self.usable_grace();
-        self.poll.and_then(|poll| poll.established_at(max_queue_time)).filter(|at| *at < expiry)
+        self.poll.and_then(|poll| poll.established_at(ESTABLISHED_AFTER)).filter(|at| *at < expiry)
     }
 
     /// The grace period without the time for which a process may be stalled.
@@ -268,16 +263,20 @@
 
     fn on_started(&mut self, now: Time, hold: Duration) {
         self.keep_expired(now);
-        self.poll = Some(Poll { begun: now, hold, sent: false, continues: false, answer_began: None });
+        self.poll = Some(Poll::starting(now, hold));
     }
 
     /// From now on the poll has reached discovery, and the hold time of a watch begins.
     fn on_connected(&mut self, now: Time) {
-        let continues_in_time =
-            self.watch_answered.is_some_and(|answered| now <= answered + WATCH_CONTINUES_WITHIN);
+        let continues_in_time = match self.is_pushed() {
+            true => self.agent.continues(now) && self.is_valid(now),
+            false => self.watch_answered.is_some_and(|answered| now <= answered + WATCH_CONTINUES_WITHIN),
+        };
+        let confirms_list = self.is_pushed() && !continues_in_time;
         if let Some(poll) = &mut self.poll {
-            let continues = continues_in_time && !poll.hold.is_zero();
-            *poll = Poll { begun: now, sent: true, continues, ..*poll };
+            let hold = if confirms_list { Duration::ZERO } else { poll.hold };
+            let continues = continues_in_time && !hold.is_zero();
+            *poll = Poll { begun: now, hold, sent: true, continues, ..*poll };
             self.last_poll.at = now;
         }
     }
@@ -292,6 +291,7 @@
     fn on_unusable(&mut self, now: Time) {
         self.ended_while_established(now);
         self.state = DiscoveryState::Available;
+        self.agent = AgentContact::None;
         self.on_unapplied(self.answer_began().unwrap_or(now));
     }
 
@@ -302,10 +302,15 @@
 
     fn on_answered(&mut self, as_of: Time) {
         self.state = DiscoveryState::Available;
+        self.agent = AgentContact::Answered(as_of);
         self.unapplied_since = self.unapplied_since.filter(|since| as_of < *since);
         self.confirmed = Some(as_of);
         self.notified_by_reload = None;
-        self.extend(as_of + self.notified_after());
+        match self.discovery {
+            // What the agent learns from here on counts at once, whatever was allowed before.
+            Discovery::Pushed => self.notified_at = as_of,
+            Discovery::OnRequest { .. } => self.extend(as_of + NOTIFIED_AFTER),
+        }
     }
 
     /// If the poll that has just ended was an established watch, no change was missed before its
@@ -314,6 +319,7 @@
         let Some(watch) = self.established_watch(now) else { return false };
         self.extend((now + self.notified_after()).min(watch.notified_if_silent()));
         self.state = DiscoveryState::MayBeDown;
+        self.agent = AgentContact::WatchBroke(now);
         true
     }
 
@@ -349,31 +355,37 @@
     }
 
     /// Discovery could not be reached when the poll began, so later changes have not been notified
-    /// by it. An agent that cannot be reached learns of no changes, whatever it sent before.
+    /// by it.
     fn record_outage(&mut self, now: Time) {
         let begun = self.poll.map_or(now, |poll| poll.begun);
-        if begun > self.notified_at && !self.is_pushed() {
+        if begun > self.notified_at {
             return;
         }
         self.notified_by_reload = None;
         self.extend(begun + self.notified_after());
     }
 
+    /// A silent watch may have missed any change that its agent learned of.
     fn on_timed_out(&mut self, now: Time) {
-        match self.poll {
-            Some(watch) if self.established_watch(now).is_some() => self.extend(watch.notified_if_silent()),
-            // An agent that is cut off from discovery sends nothing and learns of no changes.
-            _ if self.is_pushed() => self.on_rejected_after_wait(now),
-            _ => {}
+        self.agent = AgentContact::None;
+        if let Some(watch) = self.established_watch(now) {
+            self.extend(watch.notified_if_silent());
         }
     }
 
+    /// What the new discovery holds counts as notified some time after the change, to a process that
+    /// had missed nothing of the old one.
     fn on_discovery_changed(&mut self, now: Time) {
+        let notified_at = now + NOTIFIED_AFTER_RELOAD;
+        let is_complete = self.is_pushed() && self.agent.is_complete() && self.is_valid(now);
         if let Some(watch) = self.established_watch(now) {
-            self.extend((now + self.notified_after()).min(watch.notified_if_silent()));
+            let known_until = if is_complete { notified_at } else { now + self.notified_after() };
+            self.extend(known_until.min(watch.notified_if_silent()));
+        } else if is_complete {
+            self.extend(notified_at);
         }
+        self.agent = AgentContact::None;
         self.answer_began().into_iter().for_each(|since| self.on_unapplied(since));
-        let notified_at = now + NOTIFIED_AFTER_RELOAD;
         self.notified_by_reload =
             Some(self.notified_by_reload.map_or(notified_at, |earlier| earlier.min(notified_at)));
     }
--- a/crates/core/src/lease/event.rs
+++ b/crates/core/src/lease/event.rs
@@ -30,9 +30,10 @@
     RejectedAfterWait,
     /// No connection was established: discovery could not be reached when the poll began.
     Unreachable,
+    /// Discovery closed the connection at once, without a word.
+    BrokenAtOnce,
     /// The poll failed in a way that says nothing about discovery: a fault of this process or of
-    /// the network path, or a connection that was closed at once. If it was not connected, it does
-    /// not count as a poll.
+    /// the network path. If it was not connected, it does not count as a poll.
     Inconclusive,
     /// The answer to the poll could not be applied, or ended early.
     Unusable,
@@ -46,3 +47,17 @@
     /// A reload names another discovery; the poll in progress is dropped.
     DiscoveryChanged,
 }
+
+impl PollEvent {
+    /// Whether it shows that an agent does not serve calls. Unlike a discovery that serves a whole
+    /// fleet, an agent has no queue that could be full.
+    pub(super) fn is_failure_of_agent(self) -> bool {
+        matches!(
+            self,
+            PollEvent::RejectedAtOnce
+                | PollEvent::RejectedAfterWait
+                | PollEvent::Unreachable
+                | PollEvent::BrokenAtOnce
+        )
+    }
+}
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -57,6 +57,12 @@
         let _ = self.lease_changed.0.try_send(());
     }
 
+    /// Records that a poll is connected and about to be sent. Returns the hold time to ask for.
+    pub fn poll_connected(self: &Rc<Self>) -> Duration {
+        self.record_poll(PollEvent::Connected);
+        self.lease.borrow().hold_time()
+    }
+
     /// Tells the balancer that the list could not be obtained.
     pub fn list_failed(self: &Rc<Self>) {
         self.counts.count_list(false);
@@ -66,7 +72,7 @@
     /// Sets how long new attempts may still go to an endpoint after it starts draining.
     pub fn set_drain_grace(self: &Rc<Self>, grace: Duration) {
         let discovery = self.discovery.get();
-        self.lease.borrow_mut().configure(discovery, grace);
+        self.lease.borrow_mut().configure(self.clock.now(), discovery, grace);
         self.check_lease();
         let _ = self.lease_changed.0.try_send(());
     }
--- a/crates/net/src/list/evidence.rs
+++ b/crates/net/src/list/evidence.rs
@@ -42,9 +42,9 @@
         // Where discovery is down, a poll may end with a reset in place of 503 (the protocol
         // specification).
         PollOutcome::Failed if took >= REJECTION_TIME => PollEvent::RejectedAfterWait,
+        PollOutcome::Failed => PollEvent::BrokenAtOnce,
         PollOutcome::Unusable => PollEvent::Unusable,
-        PollOutcome::Failed
-        | PollOutcome::PathFailed
+        PollOutcome::PathFailed
         | PollOutcome::ErrorStatus
         | PollOutcome::NotMade
         | PollOutcome::Answered { .. } => PollEvent::Inconclusive,
--- a/crates/net/src/list/poll.rs
+++ b/crates/net/src/list/poll.rs
@@ -129,6 +129,8 @@
 struct Progress {
     /// Whether the request has been sent, so that discovery may answer it.
     sent: Cell<bool>,
+    /// The hold time that the request asks for.
+    hold_time: Cell<Duration>,
     answer_began: Cell<Option<Time>>,
     /// Whether a reload has superseded the poll: the lease no longer follows it.
     superseded: Cell<bool>,
@@ -143,12 +145,13 @@
 impl Poll {
     /// Starts a poll, on the idle connection if there is one.
     pub fn start(request: PollRequest, idle_connection: Option<Connection>) -> Poll {
-        let (hold_time, from_generation) = (request.hold_time, request.generation);
+        let from_generation = request.generation;
         let (started_at, progress) = (Cell::new(Instant::now()), Rc::new(Progress::default()));
         let of_poll = progress.clone();
         let poll = async move {
             let result = request.run(idle_connection, &started_at, &of_poll).await;
             let (took, answer_began) = (started_at.get().elapsed(), of_poll.answer_began.get());
+            let hold_time = of_poll.hold_time.get();
             PollEnd { result, took, hold_time, from_generation, answer_began }
         };
         Poll { end: poll.boxed_local(), progress }
@@ -185,7 +188,8 @@
             None => self.connect(started_at).await?,
         };
         progress.sent.set(true);
-        self.sidecar.record_poll(PollEvent::Connected);
+        self.hold_time = self.sidecar.poll_connected();
+        progress.hold_time.set(self.hold_time);
         let (status, body, reusable) = self.exchange(&mut connection, started_at.get(), progress).await?;
         if status != 200 {
             let outcome = if status == STATUS_UNAVAILABLE {
--- a/crates/net/src/list/schedule.rs
+++ b/crates/net/src/list/schedule.rs
@@ -306,6 +306,8 @@
             PollOutcome::Silent { waits: false } if self.failures < MAX_IMMEDIATE_RETRIES => {
                 SILENCE_JITTER.mul_f64(jitter)
             }
+            // A call that the agent kept for a while costs it little to repeat soon.
+            _ if self.pushed && took >= REJECTION_TIME => agent_backoff(0, jitter),
             _ if self.pushed => agent_backoff(self.failures, jitter),
             PollOutcome::Unusable if self.failures == 0 => SILENCE_JITTER.mul_f64(jitter),
             PollOutcome::Unusable => self.next_backoff(jitter),
--- a/crates/program/tests/sidecar/main.rs
+++ b/crates/program/tests/sidecar/main.rs
@@ -29,4 +29,5 @@
 mod returning_ids;
 mod shared_state;
 mod shutdown_answers;
+mod silent_agents;
 mod stop;
--- /dev/null
+++ b/crates/program/tests/sidecar/silent_agents.rs
@@ -0,0 +1,189 @@
+//! Agents that push the list and fail to answer: what a process may do until it has heard of them.
+
+use crate::harness::*;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// New attempts may go to an endpoint for this long after it is removed: 0.5 s by the settings, and
+/// 0.05 s by the protocol specification.
+const DRAIN_GRACE: Duration = Duration::from_millis(550);
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// How an agent fails to answer a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Failure {
+    Silence,
+    Reset,
+    Refusal,
+    UnavailableAtOnce,
+    UnavailableLate,
+    HalfAnswer,
+}
+
+const FAILURES: [Failure; 6] = [
+    Failure::Silence,
+    Failure::Reset,
+    Failure::Refusal,
+    Failure::UnavailableAtOnce,
+    Failure::UnavailableLate,
+    Failure::HalfAnswer,
+];
+
+fn pushed_config(discovery: SocketAddr, known: &str) -> String {
+    config_json(discovery, known, 1024).replace("on_request", "pushed")
+}
+
+/// An agent that fails each call until it is told to answer with the list `answer`.
+struct FailingAgent {
+    address: SocketAddr,
+    answers: Arc<AtomicBool>,
+}
+
+impl FailingAgent {
+    fn start(failure: Failure, answer: String) -> FailingAgent {
+        let server = ScriptedServer::new();
+        let (address, answers) = (server.address, Arc::new(AtomicBool::new(false)));
+        if failure == Failure::Refusal {
+            drop(server);
+            let answers = answers.clone();
+            thread::spawn(move || {
+                while !answers.load(Ordering::Relaxed) {
+                    thread::sleep(PAUSE);
+                }
+                let listener = std::net::TcpListener::bind(address).expect("the port is still free");
+                for stream in listener.incoming() {
+                    serve_list(AcceptedConnection::read_from(stream.expect("a socket")), &answer);
+                }
+            });
+        } else {
+            let answers = answers.clone();
+            thread::spawn(move || {
+                loop {
+                    let call = AcceptedConnection::read_from(server.accept_stream_without_limit());
+                    let (answers, answer) = (answers.clone(), answer.clone());
+                    thread::spawn(move || match answers.load(Ordering::Relaxed) {
+                        true => serve_list(call, &answer),
+                        false => fail(call, failure, &answers, &answer),
+                    });
+                }
+            });
+        }
+        FailingAgent { address, answers }
+    }
+
+    fn begin_to_answer(&self) {
+        self.answers.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Answers the first call on a connection and holds the watches that follow.
+fn serve_list(mut call: AcceptedConnection, answer: &str) {
+    call.reply("200 OK", "", answer);
+    while !call.read_next().is_empty() {}
+}
+
+fn fail(mut call: AcceptedConnection, failure: Failure, answers: &AtomicBool, answer: &str) {
+    match failure {
+        Failure::Refusal => {}
+        Failure::Silence => {
+            while !answers.load(Ordering::Relaxed) {
+                thread::sleep(PAUSE);
+            }
+            // The call may have been given up meanwhile.
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", answer.len());
+            if call.stream.write_all((head + answer).as_bytes()).is_ok() {
+                while !call.read_next().is_empty() {}
+            }
+        }
+        Failure::Reset => {
+            let _ = socket2::SockRef::from(&call.stream).set_linger(Some(Duration::ZERO));
+        }
+        Failure::UnavailableAtOnce => call.reply("503 Service Unavailable", "", ""),
+        Failure::UnavailableLate => {
+            thread::sleep(Duration::from_millis(600));
+            call.reply("503 Service Unavailable", "", "");
+        }
+        Failure::HalfAnswer => {
+            let _ =
+                call.stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"generation\":2");
+        }
+    }
+}
+
+/// Sends requests one after another for `time`. Returns the numbers of answers with 200 and with 503,
+/// and the longest time to a 503.
+fn request_for(sidecar: &TestSidecar, time: Duration) -> (usize, usize, Duration) {
+    let until = Instant::now() + time;
+    let (mut served, mut refused, mut slowest) = (0, 0, Duration::ZERO);
+    while Instant::now() < until {
+        let sent = Instant::now();
+        let answer =
+            sidecar.request(&LOOK.replace("c1", &format!("r{}", NEXT_ID.fetch_add(1, Ordering::Relaxed))));
+        match &answer[..12] {
+            "HTTP/1.1 200" => served += 1,
+            "HTTP/1.1 503" => {
+                refused += 1;
+                slowest = slowest.max(sent.elapsed());
+            }
+            other => panic!("{other}"),
+        }
+        thread::sleep(PAUSE);
+    }
+    (served, refused, slowest)
+}
+
+static NEXT_ID: AtomicUsize = AtomicUsize::new(0);
+
+/// Guards against: a new process that sends to an endpoint that left before it started, for as long as
+/// its agent fails to answer (review/3): the connection that was accepted, or the failure, renewed the
+/// lease of a process that had heard nothing.
+#[test]
+fn new_process_sends_nothing_after_the_grace_until_its_agent_answers() {
+    let play = |failure: Failure| {
+        let (gone, active) = (ScriptedServer::new(), ScriptedServer::new());
+        let lines = |lifecycle| {
+            [instance_json("t0", gone.address, lifecycle), instance_json("t1", active.address, "active")]
+        };
+        let agent = FailingAgent::start(failure, list_json(2, true, &lines("leaving")));
+        let known = list_json(1, true, &lines("active"));
+        let started = Instant::now();
+        let sidecar = TestSidecar::start(&pushed_config(agent.address, &known));
+        let (to_gone, to_active) = (gone.echo_requests(), active.echo_requests());
+        thread::sleep(DRAIN_GRACE);
+        (to_gone.try_iter().chain(to_active.try_iter())).for_each(drop);
+        let (served, refused, slowest) = request_for(&sidecar, Duration::from_millis(2500));
+        assert_eq!(served, 0, "{failure:?}: served while the agent had not answered");
+        assert!(refused > 5, "{failure:?}: {refused} refused");
+        assert!(slowest < Duration::from_millis(1500), "{failure:?}: refused after {slowest:?}");
+        assert_eq!((to_gone.try_iter().count(), to_active.try_iter().count()), (0, 0), "{failure:?}");
+        agent.begin_to_answer();
+        while request_for(&sidecar, PAUSE).0 == 0 {
+            assert!(started.elapsed() < Duration::from_secs(15), "{failure:?}: not served again");
+        }
+        let (_, refused, _) = request_for(&sidecar, Duration::from_millis(500));
+        assert_eq!((refused, to_gone.try_iter().count()), (0, 0), "{failure:?}");
+        sidecar.stop_and_join();
+    };
+    thread::scope(|scope| {
+        let plays = FAILURES.map(|failure| scope.spawn(move || play(failure)));
+        plays.into_iter().for_each(|played| played.join().expect("it holds"));
+    });
+}
+
+/// Guards against: a starting process that refuses its clients although its agent answers.
+#[test]
+fn new_process_serves_from_its_first_second_where_its_agent_answers() {
+    let endpoint = ScriptedServer::new();
+    let list = list_json(1, true, &[instance_json("t0", endpoint.address, "active")]);
+    let agent = FailingAgent::start(Failure::Silence, list.clone());
+    agent.begin_to_answer();
+    endpoint.echo_requests();
+    let sidecar = TestSidecar::start(&pushed_config(agent.address, &list));
+    let (served, refused, _) = request_for(&sidecar, Duration::from_secs(2));
+    assert!(served > 20 && refused == 0, "{served} served, {refused} refused");
+    sidecar.stop_and_join();
+}
