Keep clients away from a process whose agent has not answered; refuse at once

Change: such a process says no to /health/ready until its agent has answered, for 5 s at most (restarted processes have 6 s), so that the front deals its clients to the others. The new process of an upgrade does not listen for as long: the older one has a list and keeps the clients; HEALTH says no meanwhile. What comes all the same is refused at once while the agent fails, with Retry-After. Lists that are asked for: no change.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -169,6 +169,11 @@
         now > self.notified_at(now) + self.grace
     }
 
+    /// Whether the list has ever been known to be complete.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed.is_some()
+    }
+
     /// Time since the list was last known to be complete; `None` if it never was.
     pub fn age(&self, now: Time) -> Option<Duration> {
         self.confirmed.map(|confirmed| now.since(confirmed))
--- a/crates/core/src/lease/agent.rs
+++ b/crates/core/src/lease/agent.rs
@@ -46,7 +46,16 @@
     }
 }
 
+/// An agent serves its one machine sooner than this: a call that takes longer finds it silent.
+const PROMPT_ANSWER_TIME: Duration = Duration::from_millis(200);
+
 impl Lease {
+    /// Whether the agent that pushes the list has failed the last call or leaves one unanswered.
+    pub fn is_agent_failing(&self, now: Time) -> bool {
+        let is_silent = self.poll.is_some_and(|poll| poll.sent && now > poll.begun + PROMPT_ANSWER_TIME);
+        self.is_pushed() && self.unapplied_since.is_none() && (self.last_poll.failed || is_silent)
+    }
+
     /// An agent that fails has learned of no change since it was last seen to hold no more than the
     /// list, if the call began before the grace period since then was over.
     pub(super) fn on_agent_failed(&mut self, now: Time) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -91,6 +91,7 @@
     /// How the endpoint list is obtained, according to the current settings.
     discovery: Cell<Discovery>,
     lease: RefCell<Lease>,
+    started_at: Time,
     /// Whether there has been an endpoint list, empty or not.
     has_list: Cell<bool>,
     /// Signals that the lease has changed.
@@ -130,6 +131,7 @@
             settings_version: Cell::new(0),
             discovery: Cell::new(discovery),
             lease: Lease::new(now, discovery, DRAIN_GRACE).into(),
+            started_at: now,
             has_list: Cell::new(false),
             lease_changed: async_channel::bounded(1),
         };
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -8,6 +8,10 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+/// A process takes clients this long after its start at the latest, confirmed list or not: a
+/// restarted one has 6 s to be ready (the deployment's requirements).
+const MAX_CONFIRMATION_TIME: Duration = Duration::from_secs(5);
+
 /// Longest time that an answer from discovery may be on its way: once it has begun, it must be
 /// complete within this time.
 pub const MAX_ANSWER_TRANSIT: Duration = Duration::from_millis(1100);
@@ -98,6 +102,12 @@
         self.core.borrow().endpoint_list.is_suspended()
     }
 
+    /// Whether a request that came now would wait in vain: the list may not be used, and the agent that
+    /// pushes it shows no sign of answering.
+    pub fn waits_in_vain(&self) -> bool {
+        self.is_suspended() && self.lease.borrow().is_agent_failing(self.clock.now())
+    }
+
     /// Begins or ends the suspension of all endpoints according to the lease.
     fn check_lease(self: &Rc<Self>) {
         let valid = self.lease.borrow().is_valid(self.clock.now());
@@ -178,6 +188,20 @@
         self.has_list.get()
     }
 
+    /// Whether clients should come: there is a list, and it may be used or the process has waited for
+    /// that for as long as it may.
+    pub fn is_ready(&self) -> bool {
+        self.has_list() && self.is_list_settled()
+    }
+
+    /// Whether there is nothing to wait for before clients come: no agent pushes the list, or it has
+    /// answered, or it has not for too long.
+    pub fn is_list_settled(&self) -> bool {
+        let lease = self.lease.borrow();
+        let waited = self.clock.now().since(self.started_at);
+        !lease.is_pushed() || lease.is_confirmed() || waited >= MAX_CONFIRMATION_TIME
+    }
+
     /// Whether an endpoint is listed and accepts new attempts.
     pub fn takes_work(&self, endpoint: EndpointId) -> bool {
         self.core.borrow().endpoint_list.takes_work(endpoint)
--- a/crates/net/src/clients/flow.rs
+++ b/crates/net/src/clients/flow.rs
@@ -23,6 +23,9 @@
 const OVERDUE_GRACE: Duration = Duration::from_millis(20);
 /// What an admitted request holds beside its head and body, in bytes.
 const REQUEST_STATE_BYTES: usize = 6 << 10;
+/// The part of its time after which a client whose request would wait in vain should come again: as
+/// for requests that the balancer refuses.
+const RETRY_SHARE_IN_VAIN: f64 = 0.25;
 
 /// What the client of a request has been given.
 #[derive(Debug)]
@@ -70,7 +73,7 @@
     ) -> Option<Answered> {
         if head.line[1] == "/health/ready" {
             let ready = !self.is_draining() && self.shutdown.get().is_none();
-            let reply = match ready && self.sidecar.has_list() {
+            let reply = match ready && self.sidecar.is_ready() {
                 true => Reply::text(200, "ready"),
                 false => Reply::text(503, "not ready"),
             };
@@ -93,7 +96,9 @@
         let more = REQUEST_STATE_BYTES + 2 * accepted.outgoing.head.len();
         let has_memory = connection.reservation.try_grow(more, Purpose::Admission);
         let at_limit = at_limit.or_else(|| (!has_memory).then_some(Some(MEMORY_RETRY_AFTER)));
-        if let Some(retry_after) = at_limit.or_else(|| self.retry_after_to_spare_connections().map(Some)) {
+        let in_vain = || self.sidecar.waits_in_vain().then(|| self.retry_after_in_vain(&accepted));
+        let spare = || self.retry_after_to_spare_connections().map(Some);
+        if let Some(retry_after) = at_limit.or_else(in_vain).or_else(spare) {
             let refusal = Reply::local(LocalReply::Refused { retry_after });
             let answered = early_reply(refusal, rest.is_some());
             self.count_final_response(&accepted.class_name, Some(&answered));
@@ -116,6 +121,13 @@
         answered
     }
 
+    /// When a client whose request would wait in vain should come again, if settings have it: soon
+    /// enough for the time that it has left.
+    fn retry_after_in_vain(&self, accepted: &AcceptedRequest) -> Option<Duration> {
+        let longest = self.settings.borrow().max_retry_after?;
+        Some(longest.min(accepted.time_left.mul_f64(RETRY_SHARE_IN_VAIN)))
+    }
+
     /// Ends a request without a response, because its client has disconnected. Where the guard
     /// finds that the client still waits, the request is answered as failed.
     fn close_unanswered(&self, accepted: &AcceptedRequest, client_gone: bool) -> Option<Reply> {
--- a/crates/program/src/cli.rs
+++ b/crates/program/src/cli.rs
@@ -86,21 +86,18 @@
 }
 
 /// Binds the clients' listener with SO_REUSEPORT, because a process of another version may hold the
-/// same address for a while: the kernel distributes new connections between the two until the older
-/// one closes its listener.
-pub fn listen_shared(address: SocketAddr) -> Result<(TcpListener, SocketAddr), String> {
+/// same address for a while: the kernel distributes new connections between those that listen. The
+/// returned one does not listen yet.
+pub fn bind_shared(address: SocketAddr) -> Result<TcpListener, String> {
     use socket2::{Domain, Protocol, Socket, Type};
     let shared = || -> std::io::Result<TcpListener> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
         socket.set_reuse_port(true)?;
         socket.bind(&address.into())?;
-        // The same backlog as the standard library's listener.
-        socket.listen(128)?;
         Ok(socket.into())
     };
-    let listener = shared().and_then(|l| l.local_addr().map(|address| (l, address)));
-    listener.map_err(|e| format!("cannot listen on {address}: {e}"))
+    shared().map_err(|e| format!("cannot listen on {address}: {e}"))
 }
 
 fn check(path: PathBuf, operator_path: Option<PathBuf>) -> Result<(), String> {
@@ -116,14 +113,13 @@
     let config = Config::load(&path).map_err(|e| e.to_string())?;
     let operator = load_operator_file(operator_path)?;
     log::start(&operator.log);
-    let (listener, address) = listen_shared(config.listen)?;
+    let listener = bind_shared(config.listen)?;
     let metrics = operator.metrics.listen.map(bind_metrics_listener).transpose()?;
     let console = config.console.map(listen).transpose()?.map(|(listener, address)| {
         tracing::info!(listen = %address, "serves the console");
         listener
     });
     let fleet = Membership::start(&operator.fleet, &config.name)?;
-    tracing::info!(name = config.name, listen = %address, "serves");
     let control_events = Box::pin(signals.filter_map(move |signal| match signal {
         Ok(Signal::Hup) => Some(ControlEvent::Reload(Config::load(&path).map(Box::new))),
         Ok(_) => Some(ControlEvent::Stop),
--- a/crates/program/src/console.rs
+++ b/crates/program/src/console.rs
@@ -27,6 +27,8 @@
     pub disabled: Rc<DisabledEndpoints>,
     /// Whether the process is stopping.
     pub stopping: Rc<Cell<bool>>,
+    /// Whether the process takes clients.
+    pub takes_clients: Rc<Cell<bool>>,
     /// The fleet membership, if it is on.
     pub fleet: Option<Rc<Membership>>,
 }
@@ -57,6 +59,9 @@
             ConsoleCommand::Offline(name) => self.set_disabled(&name, true).await,
             ConsoleCommand::Online(name) => self.set_disabled(&name, false).await,
             ConsoleCommand::Health if self.stopping.get() => answer_line(Err("stopping".to_owned())),
+            ConsoleCommand::Health if !self.takes_clients.get() => {
+                answer_line(Err("waiting for the endpoint list".to_owned()))
+            }
             ConsoleCommand::Health => answer_line(Ok(String::new())),
             // The statistics have no status line: one JSON line, then the line that ends the
             // answer.
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod shared_ids;
 pub mod state;
 pub mod taken_out;
+mod takeover;
 
 pub use cottonpoint_core as sidecar;
 pub use cottonpoint_decide::*;
--- a/crates/program/src/serve.rs
+++ b/crates/program/src/serve.rs
@@ -8,8 +8,9 @@
 pub use crate::pid_file::PidFile;
 use crate::shared_ids::IdFile;
 use crate::taken_out::DisabledEndpoints;
+use crate::takeover::{STATE_CHECK_INTERVAL, Takeover};
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use cottonpoint_core::{Clock, Executor, Sidecar};
 use cottonpoint_decide::ListKind;
 use cottonpoint_mesh::Command;
@@ -22,7 +23,6 @@
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::thread;
 use std::time::Duration;
 
 /// Beside a newer process, idle connections are closed this long after the stop event: a request
@@ -31,11 +31,6 @@
 /// Interval at which a stopping process looks for idle connections to close.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Interval at which the file of disabled endpoints is checked for changes by a process beside this
-/// one: well within the grace of a drain. Announcing this process and looking for a newer one use
-/// it too.
-const STATE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-
 /// A control event for a running sidecar.
 #[derive(Debug)]
 pub enum ControlEvent {
@@ -140,7 +135,6 @@
         memory.clone(),
         config.state_dir.as_deref().map(|dir| Box::new(IdFile::open(dir)) as Box<dyn SharedIds>),
     );
-    let accept = executor.spawn(clients.clone().accept(Async::new(listener)?));
     let pid_file = config.state_dir.as_deref().map(PidFile::new);
     if pid_file.as_ref().is_some_and(|pid_file| pid_file.is_another_running()) {
         // An upgrade: the older process has watched discovery all along, and the changes sent to it
@@ -149,15 +143,24 @@
         tracing::info!("an older process is running; requesting the endpoint list from discovery at once");
         let _ = address_updates.try_send(discovery_address(&config));
     }
-    pid_file.iter().for_each(|pid_file| announce(pid_file.clone()));
 
-    let stopping = Rc::new(Cell::new(false));
+    let (stopping, takes_clients) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
+    let takeover = Takeover {
+        name: config.name.clone(),
+        sidecar: sidecar.clone(),
+        clients: clients.clone(),
+        pid_file: pid_file.clone(),
+        stopping: stopping.clone(),
+        takes_clients: takes_clients.clone(),
+    };
+    let accept = executor.spawn(takeover.begin(listener)?);
     let disabled = Rc::new(DisabledEndpoints::load(config.state_dir.as_deref()));
     let console = Rc::new(Console {
         sidecar: sidecar.clone(),
         clients: clients.clone(),
         disabled,
         stopping: stopping.clone(),
+        takes_clients,
         fleet: fleet.clone(),
     });
     console.restore_disabled();
@@ -268,18 +271,6 @@
     Ok(())
 }
 
-/// Announces this process to the older one beside it, with retries until the write succeeds. This
-/// takes a thread of its own, since the disk may take seconds and clients connect from the first
-/// moment. The thread ends after that, or with the process.
-fn announce(pid_file: PidFile) {
-    thread::spawn(move || {
-        while let Err(why) = pid_file.announce() {
-            tracing::warn!(%why, "cannot announce this process to the older one; retrying");
-            thread::sleep(STATE_CHECK_INTERVAL);
-        }
-    });
-}
-
 /// Waits until a client connection has closed, or for the timer.
 async fn connection_closed_or(clients: &Clients, timer: Timer) {
     future::or(clients.wait_for_close(), async {
--- a/crates/program/tests/sidecar/silent_agents.rs
+++ b/crates/program/tests/sidecar/silent_agents.rs
@@ -1,6 +1,7 @@
 //! Agents that push the list and fail to answer: what a process may do until it has heard of them.
 
 use crate::harness::*;
+use crate::program::Program;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -136,6 +137,37 @@
     (served, refused, slowest)
 }
 
+const READY: &str = "GET /health/ready HTTP/1.1\nHost: n0\n\n";
+
+/// Guards against: clients sent to a process that may not use its list, and a process that is never
+/// ready because its agent is silent for long.
+#[test]
+fn process_is_ready_once_its_agent_answers_or_after_five_seconds() {
+    let endpoint = ScriptedServer::new();
+    let list = list_json(1, true, &[instance_json("t0", endpoint.address, "active")]);
+    let start = || {
+        let agent = FailingAgent::start(Failure::Silence, list.clone());
+        let sidecar = TestSidecar::start(&pushed_config(agent.address, &list));
+        (agent, sidecar)
+    };
+    let is_ready = |sidecar: &TestSidecar| sidecar.request(READY).starts_with("HTTP/1.1 200");
+    let (agent, answered) = start();
+    let (_silent, waiting) = start();
+    let started = Instant::now();
+    thread::sleep(Duration::from_millis(300));
+    assert!(!is_ready(&answered) && !is_ready(&waiting));
+    agent.begin_to_answer();
+    thread::sleep(Duration::from_millis(300));
+    assert!(is_ready(&answered) && !is_ready(&waiting));
+    while !is_ready(&waiting) {
+        assert!(started.elapsed() < Duration::from_millis(5500), "ready within 6 s of the start");
+        thread::sleep(PAUSE);
+    }
+    assert!(started.elapsed() > Duration::from_secs(4));
+    answered.stop_and_join();
+    waiting.stop_and_join();
+}
+
 static NEXT_ID: AtomicUsize = AtomicUsize::new(0);
 
 /// Guards against: a new process that sends to an endpoint that left before it started, for as long as
@@ -159,6 +191,11 @@
         assert_eq!(served, 0, "{failure:?}: served while the agent had not answered");
         assert!(refused > 5, "{failure:?}: {refused} refused");
         assert!(slowest < Duration::from_millis(1500), "{failure:?}: refused after {slowest:?}");
+        if let Failure::Silence | Failure::UnavailableLate = failure {
+            // A quarter of the latency target is how long a request waits where that is of use.
+            let (_, _, slowest) = request_for(&sidecar, Duration::from_millis(300));
+            assert!(slowest < Duration::from_millis(240), "{failure:?}: refused after {slowest:?}");
+        }
         assert_eq!((to_gone.try_iter().count(), to_active.try_iter().count()), (0, 0), "{failure:?}");
         agent.begin_to_answer();
         while request_for(&sidecar, PAUSE).0 == 0 {
@@ -187,3 +224,41 @@
     assert!(served > 20 && refused == 0, "{served} served, {refused} refused");
     sidecar.stop_and_join();
 }
+
+/// Guards against: clients that reach the new process of an upgrade while its agent is silent and are
+/// refused, although the older process has a list. It takes clients within 6 s all the same.
+#[test]
+fn older_process_keeps_the_clients_until_the_agent_of_the_newer_answers() {
+    let endpoint = ScriptedServer::new();
+    let list = list_json(1, true, &[instance_json("t0", endpoint.address, "active")]);
+    endpoint.echo_requests();
+    let answering = FailingAgent::start(Failure::Silence, list.clone());
+    answering.begin_to_answer();
+    let silent = FailingAgent::start(Failure::Silence, list.clone());
+    let port = listen().1;
+    let config = |agent: &FailingAgent| {
+        pushed_config(agent.address, &list).replace("127.0.0.1:0", &port.to_string())
+    };
+    for answers in [true, false] {
+        let state = tempfile::tempdir().expect("a directory");
+        let older = Program::with_state(&config(&answering), state.path());
+        let started = Instant::now();
+        let newer = thread::scope(|scope| {
+            let newer = scope.spawn(|| Program::with_state(&config(&silent), state.path()));
+            let mut refused = 0;
+            while started.elapsed() < Duration::from_secs(1) {
+                let id = format!("u{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+                let answer = read_message(&mut older.client(&LOOK.replace("c1", &id)));
+                refused += usize::from(!answer.starts_with("HTTP/1.1 200"));
+            }
+            assert_eq!(refused, 0, "the older process serves");
+            if answers {
+                silent.begin_to_answer();
+            }
+            newer.join().expect("it takes clients")
+        });
+        assert!(started.elapsed() < Duration::from_secs(6), "it takes clients in time");
+        assert!(console_command(newer.console, "HEALTH").starts_with("+OK"));
+        silent.answers.store(false, Ordering::Relaxed);
+    }
+}
--- a/crates/program/tests/succession.rs
+++ b/crates/program/tests/succession.rs
@@ -37,10 +37,13 @@
 /// Guards against a second process that cannot start because the clients' address is in use.
 #[test]
 fn two_processes_can_listen_on_the_same_address() {
-    let (first, address) = cottonpoint::cli::listen_shared("127.0.0.1:0".parse().unwrap()).expect("a port");
-    let (second, same) = cottonpoint::cli::listen_shared(address).expect("the same port, shared");
-    assert_eq!(address, same);
-    drop((first, second));
+    let first = cottonpoint::cli::bind_shared("127.0.0.1:0".parse().unwrap()).expect("a port");
+    let address = first.local_addr().expect("bound");
+    let second = cottonpoint::cli::bind_shared(address).expect("the same port, shared");
+    assert_eq!(address, second.local_addr().expect("bound"));
+    for listener in [&first, &second] {
+        socket2::SockRef::from(listener).listen(1).expect("both listen");
+    }
 }
 
 /// Guards against a delayed announcement that replaces a newer process's, so that this process
