--- a/crates/lab/src/soak/oracle/notification.rs
+++ b/crates/lab/src/soak/oracle/notification.rs
@@ -79,15 +79,23 @@
         versions.iter().find(|(version, _)| *version >= change.version).map(|(_, at)| *at)
     }
 
+    /// The first time, not before `since`, at which discovery has been reachable `for_time` without a
+    /// break.
+    fn reachable_at(&self, since: Timestamp, for_time: Duration) -> Option<Timestamp> {
+        self.records.reachable_periods.iter().find_map(|period| {
+            let at = since.max(period.from) + for_time;
+            period.until.is_none_or(|until| at <= until).then_some(at)
+        })
+    }
+
     /// When the process counts as notified whether or not the change arrived.
     fn notified_by(&self, member: usize, change: &Change) -> Option<Timestamp> {
         let started = self.records.members[member].started;
-        let available = change.at.max(started);
-        let within = if self.records.pushed { Duration::ZERO } else { NOTIFIED_WITHIN };
-        let reachable_due = self.records.reachable_periods.iter().find_map(|period| {
-            let due = available.max(period.from) + within;
-            period.until.is_none_or(|until| due <= until).then_some(due)
-        })?;
+        let reachable_due = match self.records.pushed {
+            // Whether or not the agent answers a process that has started since.
+            true => self.reachable_at(change.at, Duration::ZERO)?.max(started),
+            false => self.reachable_at(change.at.max(started), NOTIFIED_WITHIN)?,
+        };
         let silent = self.records.silent_watches.iter().filter(|watch| watch.member == member);
         let missed_by = silent.filter(|watch| {
             // A watch that opened after the change would have been answered with it at once.
--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -260,6 +260,29 @@
     assert!(!sent_after(9650, cut_off()) && sent_after(9651, cut_off()));
 }
 
+/// Guards against an oracle that counts what the agent has only from discovery's return on, for a
+/// process that starts while the agent is cut off (review/3), or from before its start.
+#[test]
+fn what_the_agent_has_counts_as_notified_from_the_start_of_a_process() {
+    let sent_at = |sent: u64, changed_at: u64| {
+        let mut records = good_records();
+        records.pushed = true;
+        records.changes.push(change(2, ms(changed_at), Lifecycle::Removed));
+        records.members[0].started = ms(4000);
+        records.attempts[0].started = ms(sent);
+        records.requests[0].sent = ms(sent);
+        records.attempts[0].time_left = Some(ms(100));
+        records.reachable_periods = vec![
+            ReachablePeriod { from: ms(0), until: Some(ms(3000)) },
+            ReachablePeriod { from: ms(9000), until: None },
+        ];
+        violated_invariants(&records).contains(&Invariant::Drain)
+    };
+    assert!(!sent_at(4650, 2000) && sent_at(4651, 2000));
+    // The agent learns of this change when it is back.
+    assert!(!sent_at(9650, 3500) && sent_at(9651, 3500));
+}
+
 /// Guards against an oracle that misses attempts at a removed endpoint that listens again before it
 /// is listed (report 2c34d4), or faults those after it is listed.
 #[test]
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -170,6 +170,9 @@
     Terminate(usize),
     /// A process is killed and started anew.
     Kill(usize),
+    /// A process is killed, and started anew after this time, with the list that there was when it was
+    /// killed.
+    KillFor(usize, Duration),
     /// A process is paused for 0.15 s.
     Pause(usize),
     /// Idle connections use up the descriptors of a process.
--- a/crates/lab/src/soak/plan/draw.rs
+++ b/crates/lab/src/soak/plan/draw.rs
@@ -1,5 +1,6 @@
 //! Draws a plan from its seed.
 
+mod agents;
 mod lists;
 mod pressure;
 mod series;
@@ -60,6 +61,7 @@
         builder.draw_stops(quiet_until);
         builder.draw_clients(quiet_until);
         builder.draw_lists(quiet_until);
+        builder.draw_agent_outages(quiet_until);
         builder.draw_class_series();
         builder.draw_upgrades();
         builder.draw_pressure(quiet_until);
--- a/crates/lab/src/soak/plan/tests.rs
+++ b/crates/lab/src/soak/plan/tests.rs
@@ -115,3 +115,27 @@
         assert!(under_pressure.iter().any(|plan| plan.memory_mb == memory_mb), "{memory_mb}");
     }
 }
+
+/// Guards against plans in which no process starts while its agent is cut off, or in which nothing has
+/// changed between the list that it knows and the outage (review/3 was not played).
+#[test]
+fn pushed_plans_have_starts_within_outages_and_drains_before() {
+    for plan in plans().into_iter().filter(|plan| plan.pushed) {
+        let cut_off = Event::Discovery(DiscoveryCondition::AgentCutOff);
+        let outages = plan.events.iter().filter(|scheduled| scheduled.event == cut_off);
+        let is_played = outages.map(|outage| outage.at).any(|outage| {
+            let killed_before = |drained: Duration| {
+                plan.events.iter().any(|scheduled| match scheduled.event {
+                    Event::KillFor(_, down) => scheduled.at < drained && scheduled.at + down > outage,
+                    _ => false,
+                })
+            };
+            plan.events.iter().any(|scheduled| {
+                matches!(scheduled.event, Event::Drain(_))
+                    && scheduled.at < outage
+                    && killed_before(scheduled.at)
+            })
+        });
+        assert!(is_played, "seed {}", plan.seed);
+    }
+}
--- a/crates/lab/src/soak/play.rs
+++ b/crates/lab/src/soak/play.rs
@@ -121,7 +121,7 @@
 impl SoakRun {
     async fn run_plan(self: Rc<Self>) -> io::Result<Records> {
         self.start_endpoints()?;
-        self.start_members((0..self.plan.members).collect()).await?;
+        self.start_members((0..self.plan.members).collect(), self.discovery.whole_list()).await?;
         let base = Instant::now();
         self.executor.spawn(self.clone().measure_lateness()).detach();
         for scheduled in &self.plan.events {
@@ -192,10 +192,9 @@
         Ok(())
     }
 
-    /// Starts processes in the given slots on separate threads, so that the stand-ins go on
-    /// answering.
-    async fn start_members(self: &Rc<Self>, slots: Vec<usize>) -> io::Result<()> {
-        let known_list = self.discovery.whole_list();
+    /// Starts processes in the given slots, which know this list, on separate threads, so that the
+    /// stand-ins go on answering.
+    async fn start_members(self: &Rc<Self>, slots: Vec<usize>, known_list: String) -> io::Result<()> {
         let mut setups = Vec::new();
         for slot in &slots {
             let discovery = self.discovery.add_member(&self.executor)?;
@@ -300,6 +299,10 @@
                 let this = self.clone();
                 self.executor.spawn(async move { drop(this.kill_and_restart(slot).await) }).detach();
             }
+            Event::KillFor(slot, down) => {
+                let this = self.clone();
+                self.executor.spawn(async move { drop(this.kill_for(slot, down).await) }).detach();
+            }
             Event::Pause(slot) => {
                 let this = self.clone();
                 self.executor.spawn(async move { drop(this.pause(slot).await) }).detach();
--- a/crates/lab/src/soak/play/stops.rs
+++ b/crates/lab/src/soak/play/stops.rs
@@ -7,7 +7,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use std::{fs, io};
 
 /// SIGKILL follows SIGTERM after the longest deadline, of which at most `MAX_DEADLINE` counts, plus
@@ -32,7 +32,7 @@
         let Some(running) = self.slots[slot].running.take() else { return Ok(()) };
         let member = self.slots[slot].member.get();
         let clients = self.slots[slot].clients.take();
-        let restarting = restart.then(|| self.clone().restart_in(slot));
+        let restarting = restart.then(|| self.clone().restart_in(slot, None));
         self.terminate_process(member, running, clients, Duration::ZERO).await?;
         if let Some(restarting) = restarting {
             restarting.await?;
@@ -59,20 +59,41 @@
     }
 
     pub(super) async fn kill_and_restart(self: Rc<Self>, slot: usize) -> io::Result<()> {
-        let Some(running) = self.slots[slot].running.take() else { return Ok(()) };
+        match self.kill(slot).await? {
+            true => self.restart_in(slot, None).await,
+            false => Ok(()),
+        }
+    }
+
+    /// Kills a process and starts it anew after `down`, with the list that it had.
+    pub(super) async fn kill_for(self: Rc<Self>, slot: usize, down: Duration) -> io::Result<()> {
+        let known_list = self.discovery.whole_list();
+        let restart_at = Instant::now() + down;
+        if self.kill(slot).await? {
+            Timer::at(restart_at).await;
+            self.restart_in(slot, Some(known_list)).await?;
+        }
+        Ok(())
+    }
+
+    /// Kills the process of a slot, if there is one.
+    async fn kill(&self, slot: usize) -> io::Result<bool> {
+        let Some(running) = self.slots[slot].running.take() else { return Ok(false) };
         let (member, clients) = (self.slots[slot].member.get(), self.slots[slot].clients.take());
         self.record_counts(member, &running).await;
         self.kill_and_collect_log(member, running, clients)?;
-        self.restart_in(slot).await
+        Ok(true)
     }
 
-    async fn restart_in(self: Rc<Self>, slot: usize) -> io::Result<()> {
+    /// Starts a process in a slot, with this list or the present one.
+    async fn restart_in(self: Rc<Self>, slot: usize, known_list: Option<String>) -> io::Result<()> {
         if self.finished.get() {
             return Ok(());
         }
         let incarnation = &self.slots[slot].incarnation;
         incarnation.set(incarnation.get() + 1);
-        self.start_members(vec![slot]).await
+        let known_list = known_list.unwrap_or_else(|| self.discovery.whole_list());
+        self.start_members(vec![slot], known_list).await
     }
 
     /// Records what a process has counted, while it still answers.
--- a/crates/lab/src/soak/play/upgrades.rs
+++ b/crates/lab/src/soak/play/upgrades.rs
@@ -36,7 +36,7 @@
         let clients = place.clients.take();
         *place.older.borrow_mut() =
             running.map(|running| OlderProcess { member: older_member, running, clients });
-        self.clone().start_members(vec![slot]).await?;
+        self.clone().start_members(vec![slot], self.discovery.whole_list()).await?;
         let incarnation = self.slots[slot].incarnation.get();
         self.executor.spawn(self.clone().share_ids(slot, incarnation)).detach();
         Ok(())
