--- a/crates/core/src/lease/agent.rs
+++ b/crates/core/src/lease/agent.rs
@@ -74,7 +74,8 @@
     /// When an answer was written at the latest. An agent answers a watch when its hold time is over,
     /// whenever this process comes to read that.
     pub(super) fn written_at(&self, as_of: Time) -> Time {
-        let hold_over = self.poll.map(|poll| poll.begun + poll.hold + MAX_ANSWER_TRANSIT);
+        let watch = self.poll.filter(|poll| !poll.hold.is_zero());
+        let hold_over = watch.map(|watch| watch.begun + watch.hold + MAX_ANSWER_TRANSIT);
         match self.discovery {
             Discovery::Pushed => hold_over.map_or(as_of, |hold_over| as_of.min(hold_over)),
             Discovery::OnRequest { .. } => as_of,
--- a/crates/program/tests/sidecar/silent_agents.rs
+++ b/crates/program/tests/sidecar/silent_agents.rs
@@ -84,7 +84,16 @@
 /// Answers the first call on a connection and holds the watches that follow.
 fn serve_list(mut call: AcceptedConnection, answer: &str) {
     call.reply("200 OK", "", answer);
-    while !call.read_next().is_empty() {}
+    hold_watches(call, answer);
+}
+
+/// Answers calls that do not wait, and none of those that do.
+fn hold_watches(mut call: AcceptedConnection, answer: &str) {
+    while !call.read_next().is_empty() {
+        if call.text.contains("hold_ms=0 ") {
+            call.reply("200 OK", "", answer);
+        }
+    }
 }
 
 fn fail(mut call: AcceptedConnection, failure: Failure, answers: &AtomicBool, answer: &str) {
@@ -97,7 +106,7 @@
             // The call may have been given up meanwhile.
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", answer.len());
             if call.stream.write_all((head + answer).as_bytes()).is_ok() {
-                while !call.read_next().is_empty() {}
+                hold_watches(call, answer);
             }
         }
         Failure::Reset => {
@@ -262,3 +271,68 @@
         silent.answers.store(false, Ordering::Relaxed);
     }
 }
+
+/// Guards against: calls to the agent that a reload names keeping the list in use before it has
+/// answered, where lists were pushed or asked for before. What it holds counts as notified 4 s after the
+/// reload.
+#[test]
+fn list_is_used_for_four_seconds_after_a_reload_to_an_agent_that_fails() {
+    let play = |failure: Failure, from_pushed: bool| {
+        let endpoint = ScriptedServer::new();
+        let list = list_json(1, true, &[instance_json("t0", endpoint.address, "active")]);
+        let answering = FailingAgent::start(Failure::Silence, list.clone());
+        answering.begin_to_answer();
+        let failing = FailingAgent::start(failure, list.clone());
+        endpoint.echo_requests();
+        let pushed = pushed_config(answering.address, &list);
+        let sidecar = TestSidecar::start(&match from_pushed {
+            true => pushed,
+            false => pushed.replace("pushed", "on_request"),
+        });
+        assert_eq!(request_for(&sidecar, Duration::from_secs(1)).1, 0, "{failure:?}");
+        sidecar.reload(&pushed_config(failing.address, &list));
+        let reloaded = Instant::now();
+        let (served, refused, _) = request_for(&sidecar, Duration::from_millis(3900));
+        assert!(served > 20 && refused == 0, "{failure:?}: {served} served, {refused} refused");
+        thread::sleep((Duration::from_secs(4) + DRAIN_GRACE).saturating_sub(reloaded.elapsed()));
+        let (served, ..) = request_for(&sidecar, Duration::from_millis(1500));
+        assert_eq!(served, 0, "{failure:?}: the new agent has not answered");
+        failing.begin_to_answer();
+        thread::sleep(Duration::from_secs(3));
+        assert_eq!(request_for(&sidecar, Duration::from_millis(500)).1, 0, "{failure:?}");
+        sidecar.stop_and_join();
+    };
+    let failures =
+        [Failure::Silence, Failure::Refusal, Failure::UnavailableAtOnce, Failure::UnavailableLate];
+    thread::scope(|scope| {
+        let plays = failures.map(|failure| {
+            [true, false].map(|from_pushed| scope.spawn(move || play(failure, from_pushed)))
+        });
+        plays.into_iter().flatten().for_each(|played| played.join().expect("it holds"));
+    });
+}
+
+/// Guards against: a running process that refuses its clients while its agent is down, although its
+/// watch was open when the agent went down, so that it has missed nothing.
+#[test]
+fn process_that_watched_until_its_agent_went_down_serves_on() {
+    let endpoint = ScriptedServer::new();
+    let list = list_json(1, true, &[instance_json("t0", endpoint.address, "active")]);
+    endpoint.echo_requests();
+    let server = ScriptedServer::new();
+    let sidecar = TestSidecar::start(&pushed_config(server.address, &list));
+    let mut call = server.accept();
+    call.reply("200 OK", "", &list);
+    call.read_next();
+    let address = server.address;
+    drop(server);
+    drop(call);
+    let (served, refused, _) = request_for(&sidecar, Duration::from_secs(4));
+    assert!(served > 50 && refused == 0, "{served} served, {refused} refused");
+    // It is back without a word: what it has learned meanwhile counts as notified.
+    let listener = std::net::TcpListener::bind(address).expect("the port is still free");
+    thread::sleep(DRAIN_GRACE + DRAIN_GRACE);
+    assert_eq!(request_for(&sidecar, Duration::from_secs(1)).0, 0);
+    drop(listener);
+    sidecar.stop_and_join();
+}
